--- a/cmd/eelgrass-gateway/main.go
+++ b/cmd/eelgrass-gateway/main.go
@@ -10,6 +10,8 @@
 	"syscall"
 
 	"github.com/eelgrassdrift/eelgrassdrift/internal/gateway"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/direct"
+	"github.com/eelgrassdrift/eelgrassdrift/platform"
 )
 
 func main() {
@@ -19,7 +21,9 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := gateway.Command().Run(ctx, os.Args); err != nil {
+	c := gateway.Command()
+	c.Commands = append(c.Commands, direct.GatewayCommand(platform.Connect()))
+	if err := c.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,504 @@
+package dispatcher
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
+	"github.com/eelgrassdrift/eelgrassdrift/observer"
+	"github.com/eelgrassdrift/eelgrassdrift/resolver"
+)
+
+const (
+	// spareGateways is the least number of gateways among which the rate of a cold
+	// endpoint is divided, so that gateways added or restarted keep within it.
+	spareGateways = 8
+	// spareFactor is how many times the known gateways there may be.
+	spareFactor = 2
+	// otherDomain and otherRegion are added to the relative load of endpoints that
+	// are not near: a hop between regions is worth less than two of 16 slots.
+	otherDomain = 0.05
+	otherRegion = 0.1
+	// faultCost is the relative load that a share of failures of 1 stands for.
+	faultCost = 3
+	// maxQueue bounds the requests that wait for one service at one gateway.
+	maxQueue = 512
+)
+
+const (
+	// rateWindow is the span over which the rate of free slots is measured.
+	rateWindow = 2 * time.Second
+	// fullRetry is the time to come back where all endpoints are full.
+	fullRetry = 800 * time.Millisecond
+	// absentRetry is the time to come back where no endpoint may be used; weights
+	// take a few seconds to arrive.
+	absentRetry = 1500 * time.Millisecond
+)
+
+// Cold bounds the requests to a cold endpoint in one second, over all gateways,
+// to rate x Factor + Slack.
+type Cold struct {
+	Factor float64
+	Slack  float64
+}
+
+// Dispatcher places requests. Its fields are set before the first call; its
+// methods may be called concurrently.
+type Dispatcher struct {
+	// Domain and Region are the place of this gateway.
+	Domain, Region string
+	Cold           Cold
+	// Grace is how long an older version may be used after this gateway learned
+	// of a newer one.
+	Grace time.Duration
+	State *observer.State
+	// Now stands for the clock; nil means time.Now.
+	Now func() time.Time
+
+	mu       sync.Mutex
+	pools    map[string]*pool
+	gateways int
+	// listed is set after the first list, whose endpoints didn't just start.
+	listed bool
+}
+
+// pool holds the endpoints of one service and the requests that wait for them.
+type pool struct {
+	service string
+	nodes   map[string]*node
+	waiting []*waiter
+	// model is the model of the engines; empty for a plain service.
+	model string
+	named observer.Named
+	// coldShare is the number of requests per second that this gateway may send
+	// to a cold endpoint.
+	coldShare int
+	// freed holds the times at which slots became free within rateWindow.
+	freed []time.Time
+}
+
+// Request asks for an endpoint.
+type Request struct {
+	Service string
+	// Match allows regions and gives the rank.
+	Match resolver.Match
+	// Exclude lists the ids of endpoints that were tried before.
+	Exclude []string
+	// Until is when the request is refused if it still waits.
+	Until time.Time
+}
+
+// Lease is a request at an endpoint until Done.
+type Lease struct {
+	Endpoint observer.Endpoint
+	// Version is the version of the model that the endpoint is known to serve; 0
+	// for a plain service.
+	Version int64
+	// Waited is the time in the queue.
+	Waited time.Duration
+	// Load is the estimated number of requests at the endpoint, without this one.
+	Load int
+
+	d    *Dispatcher
+	pool *pool
+	node *node
+}
+
+// Outcome tells how a lease ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Served means that the endpoint answered.
+	Served Outcome = iota
+	// Failed means that the connection broke or the answer was none.
+	Failed
+	// Full means that the endpoint refused the request.
+	Full
+	// Misdirected means that another instance has the address.
+	Misdirected
+	// Left means that the caller gave up.
+	Left
+)
+
+type waiter struct {
+	request Request
+	rank    int
+	since   time.Time
+	granted chan *Lease
+}
+
+func (d *Dispatcher) now() time.Time {
+	if d.Now != nil {
+		return d.Now()
+	}
+	return time.Now()
+}
+
+// Update takes the list, the configuration and the versions from the state, and
+// grants what can be granted now. It is called at changes and several times a
+// second.
+func (d *Dispatcher) Update() {
+	t := d.State.Table()
+	list := d.State.Endpoints()
+	if t == nil || list == nil {
+		return
+	}
+	evacuated := d.State.Evacuated()
+	gateways := len(d.State.Gateways(""))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.gateways = max(gateways, 1)
+	d.updatePools(t, list)
+	for _, p := range d.pools {
+		d.updateNodes(p, list, evacuated)
+		d.grant(p)
+	}
+	d.listed = true
+}
+
+func (d *Dispatcher) updatePools(t *resolver.Table, list map[string]*observer.Endpoint) {
+	if d.pools == nil {
+		d.pools = make(map[string]*pool)
+	}
+	for _, e := range list {
+		s := t.Service(e.Service)
+		if s == nil {
+			continue
+		}
+		p := d.pools[e.Service]
+		if p == nil {
+			p = &pool{service: e.Service, nodes: make(map[string]*node)}
+			d.pools[e.Service] = p
+		}
+		p.coldShare = d.coldShare(s.ColdRate)
+		if s.Engine != nil {
+			p.model = s.Engine.Model
+			p.named = d.State.Target(p.model, d.Grace)
+		}
+	}
+}
+
+// coldShare is the part of this gateway of what a cold endpoint bears. It is safe
+// without agreement, as it is divided among more gateways than there are.
+func (d *Dispatcher) coldShare(rate float64) int {
+	if rate <= 0 {
+		return 1 << 30
+	}
+	n := max(spareGateways, spareFactor*d.gateways)
+	return max(1, int((rate*d.Cold.Factor+d.Cold.Slack)/float64(n)))
+}
+
+func (d *Dispatcher) updateNodes(p *pool, list map[string]*observer.Endpoint, evacuated map[string]bool) {
+	now := d.now()
+	for id := range p.nodes {
+		if e := list[id]; e == nil || e.Service != p.service {
+			delete(p.nodes, id)
+		}
+	}
+	for id, e := range list {
+		if e.Service != p.service {
+			continue
+		}
+		n := p.nodes[id]
+		if n == nil || !n.Started.Equal(e.Started) || n.Address != e.Address {
+			n = &node{}
+			if t := d.State.Table().Service(p.service); t != nil && d.listed {
+				n.coldUntil = now.Add(t.ColdTime)
+			}
+			p.nodes[id] = n
+		}
+		if n.Endpoint.ID == "" || n.Cold != e.Cold {
+			if until := now.Add(e.Cold); e.Cold > 0 && until.After(n.coldUntil) {
+				n.coldUntil = until
+			}
+		}
+		n.Endpoint = *e
+		n.Draining = e.Draining || evacuated[e.Domain]
+	}
+}
+
+// Report takes what an endpoint's instance tells.
+func (d *Dispatcher) Report(r Report) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.pools {
+		for _, n := range p.nodes {
+			if n.Address != r.Address || !r.Started.IsZero() && !n.Started.IsZero() && !n.Started.Equal(r.Started) {
+				continue
+			}
+			n.report, n.reportedAt, n.inFlightThen = r, d.now(), n.inFlight
+			d.grant(p)
+		}
+	}
+}
+
+// ColdFor notes that an endpoint says that it stays cold.
+func (d *Dispatcher) ColdFor(l *Lease, cold time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if until := d.now().Add(cold); until.After(l.node.coldUntil) {
+		l.node.coldUntil = until
+	}
+}
+
+// Acquire returns a lease. The error is of type *Error.
+func (d *Dispatcher) Acquire(ctx context.Context, r Request) (*Lease, error) {
+	d.mu.Lock()
+	now := d.now()
+	p := d.pools[r.Service]
+	if p == nil {
+		d.mu.Unlock()
+		return nil, refuse(classifier.Unavailable, "no-endpoint", absentRetry)
+	}
+	if len(p.waiting) == 0 || d.isAhead(p, r) {
+		if n := d.pick(p, r, now); n != nil {
+			l := d.lease(p, n, now)
+			d.mu.Unlock()
+			return l, nil
+		}
+	}
+	if err := d.mayWait(p, r, now); err != nil {
+		d.mu.Unlock()
+		return nil, err
+	}
+	w := &waiter{request: r, rank: r.Match.Rank(), since: now, granted: make(chan *Lease, 1)}
+	p.enqueue(w)
+	d.mu.Unlock()
+	return d.await(ctx, p, w)
+}
+
+// isAhead reports whether the request goes before all that wait.
+func (d *Dispatcher) isAhead(p *pool, r Request) bool { return r.Match.Rank() < p.waiting[0].rank }
+
+func (p *pool) enqueue(w *waiter) {
+	i := len(p.waiting)
+	for i > 0 && p.waiting[i-1].rank > w.rank {
+		i--
+	}
+	p.waiting = slices.Insert(p.waiting, i, w)
+}
+
+func refuse(k classifier.Kind, reason string, after time.Duration) *Error {
+	return &Error{Op: "acquire", Kind: k, Reason: reason, RetryAfter: after, Err: errors.New(reason)}
+}
+
+// mayWait refuses a request that can't be served in time.
+func (d *Dispatcher) mayWait(p *pool, r Request, now time.Time) error {
+	usable, soon := 0, false
+	for _, n := range p.nodes {
+		if d.isUsable(p, n, r, now) {
+			usable++
+		}
+		soon = soon || d.isAllowed(p, n, r, now)
+	}
+	if !soon {
+		return refuse(classifier.Unavailable, "no-endpoint", absentRetry)
+	}
+	ahead := 1
+	for _, w := range p.waiting {
+		if w.rank <= r.Match.Rank() {
+			ahead++
+		}
+	}
+	left := r.Until.Sub(now)
+	if left <= 0 || len(p.waiting) >= maxQueue {
+		return refuse(classifier.Exhausted, "full", fullRetry)
+	}
+	if rate := p.rate(now); usable > 0 && rate > 0 {
+		if wait := time.Duration(float64(ahead) / rate * float64(time.Second)); wait > left {
+			return refuse(classifier.Exhausted, "queue-too-long", max(fullRetry, wait))
+		}
+	}
+	return nil
+}
+
+// rate is the number of slots per second that became free lately for requests
+// of this gateway; 0 where too few did to tell.
+func (p *pool) rate(now time.Time) float64 {
+	p.trim(now)
+	if len(p.freed) < 8 {
+		return 0
+	}
+	return float64(len(p.freed)) / max(now.Sub(p.freed[0]), 100*time.Millisecond).Seconds()
+}
+
+func (p *pool) trim(now time.Time) {
+	i := 0
+	for i < len(p.freed) && now.Sub(p.freed[i]) > rateWindow {
+		i++
+	}
+	p.freed = p.freed[i:]
+}
+
+func (d *Dispatcher) await(ctx context.Context, p *pool, w *waiter) (*Lease, error) {
+	t := time.NewTimer(w.request.Until.Sub(w.since))
+	defer t.Stop()
+	select {
+	case l := <-w.granted:
+		return l, nil
+	case <-t.C:
+		if l := d.leave(p, w); l != nil {
+			return l, nil
+		}
+		return nil, refuse(classifier.Exhausted, "waited", fullRetry)
+	case <-ctx.Done():
+		if l := d.leave(p, w); l != nil {
+			l.Done(Left)
+		}
+		return nil, &Error{Op: "acquire", Kind: classifier.Timeout, Reason: "caller-left", Err: ctx.Err()}
+	}
+}
+
+// leave takes the waiter off the queue, or returns the lease that it was granted
+// meanwhile.
+func (d *Dispatcher) leave(p *pool, w *waiter) *Lease {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if i := slices.Index(p.waiting, w); i >= 0 {
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+		return nil
+	}
+	return <-w.granted
+}
+
+// grant gives free slots to waiting requests. The caller holds the lock.
+func (d *Dispatcher) grant(p *pool) {
+	now := d.now()
+	for i := 0; i < len(p.waiting); {
+		w := p.waiting[i]
+		n := d.pick(p, w.request, now)
+		if n == nil {
+			i++
+			continue
+		}
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+		l := d.lease(p, n, now)
+		l.Waited = now.Sub(w.since)
+		w.granted <- l
+	}
+}
+
+// isAllowed reports whether the rules let the request go to the endpoint,
+// whatever its load.
+func (d *Dispatcher) isAllowed(p *pool, n *node, r Request, now time.Time) bool {
+	if n.Draining || !r.Match.Allows(n.Region) || slices.Contains(r.Exclude, n.ID) {
+		return false
+	}
+	if p.model == "" {
+		return true
+	}
+	v := n.version(p.model, now)
+	return v > 0 && v >= p.named.Floor
+}
+
+// isUsable reports whether the endpoint may get the request once it has room.
+func (d *Dispatcher) isUsable(p *pool, n *node, r Request, now time.Time) bool {
+	return d.isAllowed(p, n, r, now) && !n.closed(now) && !now.Before(n.avoidUntil)
+}
+
+// pick returns the endpoint with the lowest relative load that has room, or nil.
+func (d *Dispatcher) pick(p *pool, r Request, now time.Time) *node {
+	var best *node
+	var low float64
+	for _, n := range p.nodes {
+		if !d.isUsable(p, n, r, now) || n.coldFull(now, p.coldShare) {
+			continue
+		}
+		load, limit := n.load(now, d.gateways), n.limit()
+		if load >= limit {
+			continue
+		}
+		s := float64(load)/float64(limit) + d.distance(n) + faultCost*n.faults
+		if best == nil || s < low || s == low && rand.IntN(2) == 0 {
+			best, low = n, s
+		}
+	}
+	return best
+}
+
+func (d *Dispatcher) distance(n *node) float64 {
+	switch {
+	case n.Region != d.Region:
+		return otherRegion
+	case n.Domain != d.Domain:
+		return otherDomain
+	default:
+		return 0
+	}
+}
+
+func (d *Dispatcher) lease(p *pool, n *node, now time.Time) *Lease {
+	l := &Lease{Endpoint: n.Endpoint, Load: n.load(now, d.gateways), d: d, pool: p, node: n}
+	if p.model != "" {
+		l.Version = n.version(p.model, now)
+	}
+	n.inFlight++
+	if !now.After(n.coldUntil) {
+		n.sent = append(n.sent, now)
+	}
+	return l
+}
+
+// Done ends the lease; it is called exactly once.
+func (l *Lease) Done(o Outcome) {
+	d, n := l.d, l.node
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	n.inFlight--
+	switch o {
+	case Served:
+		n.succeeded()
+	case Failed:
+		n.failed(now)
+	case Full:
+		n.avoid(now.Add(refusedAvoid))
+	case Misdirected:
+		n.avoid(now.Add(misdirectedAvoid))
+	}
+	l.pool.trim(now)
+	if o == Served || o == Left {
+		l.pool.freed = append(l.pool.freed, now)
+	}
+	d.grant(l.pool)
+}
+
+// Status counts the endpoints and requests of a service.
+type Status struct {
+	Service                         string
+	Endpoints, InFlight, Queued     int
+	Loaded, Cold, Draining, Avoided int
+}
+
+// Status returns the counts of all services.
+func (d *Dispatcher) Status() []Status {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	var l []Status
+	for _, p := range d.pools {
+		s := Status{Service: p.service, Endpoints: len(p.nodes), Queued: len(p.waiting)}
+		for _, n := range p.nodes {
+			s.InFlight += n.inFlight
+			s.Draining += count(n.Draining)
+			s.Cold += count(now.Before(n.coldUntil))
+			s.Avoided += count(now.Before(n.avoidUntil))
+			s.Loaded += count(p.model == "" || n.version(p.model, now) >= max(1, p.named.Version))
+		}
+		l = append(l, s)
+	}
+	return l
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/dispatcher/doc.go
@@ -0,0 +1,16 @@
+// Package dispatcher decides at a gateway which endpoint a request goes to, when
+// it waits and when it is refused, where no agent stands before the endpoints.
+//
+// A Dispatcher holds one pool for each service. A pool knows the endpoints of the
+// list, what this gateway has in flight there, and what the endpoints' instances
+// report of the load of all gateways. Acquire returns a Lease on the endpoint with
+// the lowest load relative to its slots, with a small preference for near ones.
+// A request that finds all slots taken waits in the pool's queue, by rank and then
+// in the order of arrival, as long as the queue drains fast enough to serve it in
+// time; otherwise it is refused at once with the time at which to come back.
+//
+// Nothing here opens a connection; time and the list come in from outside. The
+// load that the decisions answer is the arrival of more streams than the engines
+// run at once: an engine slows all its streams when it takes more, so the excess
+// waits here, where it can still go to whichever engine has room first.
+package dispatcher
--- /dev/null
+++ b/forwarder/front.go
@@ -0,0 +1,353 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
+	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
+	"github.com/eelgrassdrift/eelgrassdrift/resolver"
+	"github.com/eelgrassdrift/eelgrassdrift/retrier"
+)
+
+const (
+	// defaultBody bounds a body where the configuration names no limit, in bytes.
+	defaultBody = 4 << 20
+	// maxDials bounds the connections that could not be made for one call; they
+	// count neither as attempts nor as retries.
+	maxDials = 4
+	// queueShare is the part of a route's aim that a request may wait for a slot;
+	// the rest is for the engine's first token.
+	queueShare = 0.5
+	// minQueue is the least time that a request may wait for a slot.
+	minQueue = 100 * time.Millisecond
+	// startRetry is when to come back to a gateway that knows no configuration.
+	startRetry = time.Second
+)
+
+// Budget bounds the retries of all gateways to a share of the requests and a
+// number in a window.
+type Budget struct {
+	// Share is the number of retries that each request adds.
+	Share float64
+	// Burst is the number of retries that one gateway may save up.
+	Burst float64
+}
+
+// Front is the handler of callers. Its fields are set before the first request.
+type Front struct {
+	Headers    Headers
+	Dispatcher *dispatcher.Dispatcher
+	Transport  *Transport
+	// Table returns the present configuration, or nil.
+	Table  func() *resolver.Table
+	Budget Budget
+	// Observe is called with each answered call; it may be nil.
+	Observe func(Result)
+	Log     zerolog.Logger
+
+	budgets  sync.Map
+	stopping atomic.Bool
+}
+
+// Result describes an answered call.
+type Result struct {
+	Route, Service string
+	// Outcome is a kebab-case word.
+	Outcome string
+	Status  int
+	Tries   int
+	// Waited is the time in the queue, First the time to the first event or
+	// the whole answer, Total the time to the end.
+	Waited, First, Total time.Duration
+}
+
+// Stop makes every answer close its connection, so that callers go elsewhere.
+func (f *Front) Stop() { f.stopping.Store(true) }
+
+func (f *Front) close(h http.Header) {
+	if f.stopping.Load() {
+		h["Connection"] = []string{"close"}
+	}
+}
+
+func (f *Front) budget(service string) *retrier.Budget {
+	if b, ok := f.budgets.Load(service); ok {
+		return b.(*retrier.Budget)
+	}
+	b, _ := f.budgets.LoadOrStore(service, &retrier.Budget{Share: f.Budget.Share, Burst: f.Budget.Burst})
+	return b.(*retrier.Budget)
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	start := time.Now()
+	c := &call{front: f, w: w, ctl: http.NewResponseController(w), start: start, id: q.Header.Get(f.Headers.RequestID)}
+	t := f.Table()
+	if t == nil {
+		c.refuse("no-configuration", startRetry)
+		return
+	}
+	m, err := t.Resolve(q.Host, pathOf(q.RequestURI), bearer(q.Header))
+	if err != nil {
+		c.fail(classifier.Of(err), "not-allowed", err)
+		return
+	}
+	if !c.readBody(q, t.Configuration.Limits.BodyBytes) {
+		return
+	}
+	c.prepare(q, m)
+	ctx, cancel := context.WithDeadline(q.Context(), c.deadline)
+	defer cancel()
+	c.ctx = ctx
+	f.budget(c.service).Offer()
+	c.serve()
+}
+
+// pathOf returns the path of a request target as the caller wrote it.
+func pathOf(uri string) string {
+	if i := strings.Index(uri, "://"); i > 0 && !strings.HasPrefix(uri, "/") {
+		if j := strings.IndexByte(uri[i+3:], '/'); j >= 0 {
+			uri = uri[i+3+j:]
+		}
+	}
+	p, _, _ := strings.Cut(uri, "?")
+	return p
+}
+
+// bearer returns the key of the caller, or "".
+func bearer(h http.Header) string {
+	scheme, key, _ := strings.Cut(h.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+// readBody reads the body whole, since an attempt may have to be repeated.
+func (c *call) readBody(q *http.Request, limit int64) bool {
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	b, err := io.ReadAll(http.MaxBytesReader(c.w, q.Body, limit))
+	if err == nil {
+		c.body = b
+		return true
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		c.answerStatus(http.StatusRequestEntityTooLarge, "body-too-large", err)
+		return false
+	}
+	// The caller left before its body was whole.
+	panic(http.ErrAbortHandler)
+}
+
+// prepare takes from the request what the attempts need.
+func (c *call) prepare(q *http.Request, m resolver.Match) {
+	n := &c.front.Headers
+	c.method, c.uri, c.host, c.match = q.Method, q.RequestURI, q.Host, m
+	account := ""
+	if m.Account != nil {
+		account = m.Account.Name
+	}
+	c.header = n.outgoing(q.Header, account)
+	c.lastEvent = q.Header.Get(n.ResumeFrom)
+	c.service = m.Route.Pick(rand.IntN(m.Route.Weight()))
+	left := m.Route.Timeout
+	if ms, err := strconv.ParseInt(q.Header.Get(n.Deadline), 10, 64); err == nil && ms > 0 {
+		left = min(left, time.Duration(ms)*time.Millisecond)
+	}
+	c.deadline = c.start.Add(left)
+}
+
+// queueUntil is when the call is refused if it still waits for a slot.
+func (c *call) queueUntil() time.Time {
+	d := max(minQueue, time.Duration(float64(c.match.Route.Aim)*queueShare))
+	if c.tries > 0 {
+		return earlier(time.Now().Add(d), c.deadline)
+	}
+	return earlier(c.start.Add(d), c.deadline)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// serve makes attempts until the call is answered.
+func (c *call) serve() {
+	dials := 0
+	var last verdict
+	for {
+		l, err := c.front.Dispatcher.Acquire(c.ctx, dispatcher.Request{
+			Service: c.service, Match: c.match, Exclude: c.tried, Until: c.queueUntil(),
+		})
+		if err != nil {
+			c.unplaced(err, last)
+			return
+		}
+		c.note(l)
+		a := &attempt{call: c, lease: l}
+		c.lines = nil
+		last = a.run(c.ctx, c.front.Transport)
+		l.Done(last.lease)
+		if a.sent {
+			c.tries++
+		} else {
+			dials++
+		}
+		if c.settle(last) {
+			return
+		}
+		c.tried = append(c.tried, l.Endpoint.ID)
+		if !a.sent && dials < maxDials && c.ctx.Err() == nil {
+			continue
+		}
+		if d := c.decide(last, a.sent); !d.Retry {
+			c.give(last, d.Reason)
+			return
+		}
+	}
+}
+
+func (c *call) note(l *dispatcher.Lease) {
+	c.endpoint, c.version, c.load = l.Endpoint.ID, l.Version, l.Load
+	c.waited += l.Waited
+}
+
+// settle ends the call where the attempt did, and reports whether it did.
+func (c *call) settle(v verdict) bool {
+	switch {
+	case v.done:
+		c.report("served", http.StatusOK, nil)
+	case !c.started && v.answer.isFinal():
+		c.first = time.Since(c.start)
+		c.reply(v.answer)
+		c.report("served", v.answer.status, nil)
+	default:
+		return false
+	}
+	return true
+}
+
+// isFinal reports whether an answer of an endpoint ends the call whatever
+// attempts are left.
+func (a *answer) isFinal() bool {
+	return a != nil && a.header != nil && a.status < http.StatusInternalServerError && !isPromise(a.status)
+}
+
+// isPromise reports whether a status tells callers that the request has not run.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+func (c *call) decide(v verdict, sent bool) retrier.Decision {
+	if c.ctx.Err() != nil {
+		return retrier.Decision{Reason: "deadline"}
+	}
+	if !sent {
+		return retrier.Decision{Reason: "no-connection"}
+	}
+	return retrier.Decide(c.front.budget(c.service), retrier.Attempt{
+		Outcome: v.outcome, Idempotent: !c.isOnce(),
+		// A stream that may be resumed goes on behind the last event.
+		Started:   c.started && c.match.Route.Repeat != resolver.Resume,
+		Remaining: time.Until(c.deadline), Tries: c.tries, MaxTries: c.match.Route.Attempts,
+	})
+}
+
+// unplaced answers a call for which there is no endpoint.
+func (c *call) unplaced(err error, last verdict) {
+	var e *dispatcher.Error
+	if !errors.As(err, &e) {
+		c.fail(classifier.Internal, "internal", err)
+		return
+	}
+	if c.tries == 0 || last.outcome == retrier.NotRun && !c.started {
+		if c.ctx.Err() == nil {
+			c.refuse(e.Reason, e.RetryAfter)
+			return
+		}
+	}
+	c.give(last, e.Reason)
+}
+
+// give ends a call that no attempt answered.
+func (c *call) give(v verdict, reason string) {
+	switch {
+	case c.started:
+		c.report("broken-off", http.StatusOK, errors.Wrap(v.err, reason))
+		// The end of the connection without the last chunk tells the caller
+		// that the stream is not whole.
+		panic(http.ErrAbortHandler)
+	case v.answer != nil && v.answer.header != nil && !isPromise(v.answer.status):
+		c.reply(v.answer)
+		c.report("endpoint-failed", v.answer.status, nil)
+	case v.answer != nil && v.answer.header == nil:
+		c.answerStatus(v.answer.status, "endpoint-refused", v.err)
+	case c.ctx.Err() != nil:
+		c.answerStatus(http.StatusGatewayTimeout, "deadline", c.ctx.Err())
+	case v.outcome == retrier.NotRun:
+		c.refuse(reason, startRetry)
+	default:
+		c.answerStatus(http.StatusBadGateway, reason, v.err)
+	}
+}
+
+// refuse answers that the request has not run and never will.
+func (c *call) refuse(reason string, after time.Duration) {
+	c.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	c.answerStatus(http.StatusServiceUnavailable, reason, nil)
+}
+
+func (c *call) fail(k classifier.Kind, reason string, err error) {
+	c.answerStatus(k.Status(), reason, err)
+}
+
+func (c *call) answerStatus(status int, reason string, err error) {
+	h := c.w.Header()
+	h.Set("Content-Type", "text/plain")
+	c.front.close(h)
+	c.w.WriteHeader(status)
+	_, _ = io.WriteString(c.w, reason+"\n")
+	c.report(reason, status, err)
+}
+
+// report logs the call in one line.
+func (c *call) report(outcome string, status int, err error) {
+	total := time.Since(c.start)
+	l := c.front.Log.Info()
+	if status >= http.StatusInternalServerError || err != nil {
+		l = c.front.Log.Warn().Err(err)
+	}
+	route := ""
+	if c.match.Route != nil {
+		route = c.match.Route.Name
+	}
+	l.Str("request", c.id).Str("route", route).Str("service", c.service).Str("outcome", outcome).Int("status", status).
+		Str("endpoint", c.endpoint).Int64("version", c.version).Int("load", c.load).Int("tries", c.tries).
+		Dur("waited-ms", c.waited).Dur("first-ms", c.first).Dur("total-ms", total).Msg("request")
+	if c.front.Observe != nil {
+		c.front.Observe(Result{
+			Route: route, Service: c.service, Outcome: outcome, Status: status, Tries: c.tries,
+			Waited: c.waited, First: c.first, Total: total,
+		})
+	}
+}
--- /dev/null
+++ b/internal/direct/agent.go
@@ -0,0 +1,227 @@
+package direct
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
+	"github.com/eelgrassdrift/eelgrassdrift/distributor"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/listener"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
+	"github.com/eelgrassdrift/eelgrassdrift/loader"
+	"github.com/eelgrassdrift/eelgrassdrift/recorder"
+)
+
+// Times and bounds of the spread between agents. A version of a few megabytes is
+// spread within seconds, so a source that is lost has to be given up in less.
+const (
+	chunkWait     = 1500 * time.Millisecond
+	chunkPoll     = 300 * time.Millisecond
+	chunkStall    = 700 * time.Millisecond
+	chunkPatience = 2 * time.Second
+	chunkBackoff  = 300 * time.Millisecond
+	// digestTimeout bounds the question for digests at one peer.
+	digestTimeout = 300 * time.Millisecond
+)
+
+const (
+	// linkShare is the part of the instance's link that chunks may take, so that
+	// the events of streams on the same link stay in time.
+	linkShare = 0.85
+	// regionShare is the part of the link between regions for chunks.
+	regionShare = 0.8
+	// originReads bounds the reads of one agent at the origin.
+	originReads = 2
+	// digestPeers is the number of peers that are asked for digests.
+	digestPeers = 2
+	bitsPerByte = 8
+)
+
+// Agent brings the engine beside it to the named version. Its fields are set
+// before Run.
+type Agent struct {
+	Name, Domain, Region, Service string
+	// Peers is the own address towards other agents, Metrics may be the zero value.
+	Peers, Metrics netip.AddrPort
+	// Engine is the engine of this instance, as in the list.
+	Engine  netip.AddrPort
+	Store   netip.AddrPort
+	Regions map[string]string
+	// Link and RegionLink are the bits per second of the instance's link and of the
+	// link between two regions; 0 means no bound.
+	Link, RegionLink float64
+	// Within is the time in which a named version has to be served everywhere.
+	Within   time.Duration
+	Platform *Platform
+	Meter    *meter.Exporter
+	Log      zerolog.Logger
+
+	follower *follower
+	client   *http.Client
+	chunks   *distributor.Store
+	loader   *loader.Loader
+	socket   *net.UDPConn
+}
+
+// Run works until the context ends.
+func (a *Agent) Run(ctx context.Context) error {
+	if err := a.build(); err != nil {
+		return err
+	}
+	e, ctx := errgroup.WithContext(ctx)
+	for address, h := range map[netip.AddrPort]http.Handler{a.Peers: a.handler(), a.Metrics: a.Meter.Handler} {
+		if !address.IsValid() {
+			continue
+		}
+		l, err := listener.Open(ctx, address)
+		if err != nil {
+			return err
+		}
+		s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+		e.Go(func() error { return listener.Serve(s, l) })
+		context.AfterFunc(ctx, func() { _ = s.Close() })
+	}
+	a.Log.Info().Str("peers", a.Peers.String()).Str("engine", a.Engine.String()).Msg("start")
+	e.Go(func() error { return a.follower.run(ctx, true) })
+	e.Go(func() error { return a.loader.Reporter.Run(ctx) })
+	e.Go(func() error { return a.loader.Run(ctx) })
+	err := e.Wait()
+	a.Log.Info().AnErr("failure", err).Msg("stop")
+	return err
+}
+
+func (a *Agent) build() error {
+	a.follower = newFollower(a.Platform, a.Store, a.Peers, a.Domain, a.Regions, a.Log)
+	a.client = a.follower.client
+	a.chunks = &distributor.Store{}
+	s, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(a.Peers.Addr(), 0)))
+	if err != nil {
+		return errors.Wrap(err, "open socket for reports")
+	}
+	a.socket = s
+	replica := a.Platform.Replica(a.Engine, a.client)
+	a.loader = &loader.Loader{
+		Service: a.Service, Address: a.Engine, Within: a.Within, State: a.follower.state, Replica: replica,
+		Reporter: &loader.Reporter{Replica: replica, Address: a.Engine, Send: a.send, Log: a.Log},
+		Digests:  a.digests,
+		Pieces:   func(o netip.AddrPort) *connector.Pieces { return a.Platform.Pieces(o, a.client) },
+		NewFetcher: func(o *connector.Origin, domain string) *distributor.Fetcher {
+			return a.newFetcher(o, domain)
+		},
+		Store: a.chunks, Log: a.Log,
+	}
+	return nil
+}
+
+func (a *Agent) self() distributor.Member { return a.member(a.Engine, a.Domain, a.Region, false) }
+
+// member is named by the address of its instance, which all instances know alike.
+func (a *Agent) member(engine netip.AddrPort, domain, region string, leaving bool) distributor.Member {
+	return distributor.Member{
+		Instance: recorder.Name(engine.Addr().String()), FailureDomain: recorder.Name(domain), Region: recorder.Name(region),
+		Address: netip.AddrPortFrom(engine.Addr(), a.Peers.Port()), Leaving: leaving,
+	}
+}
+
+// members returns the instances of the own service.
+func (a *Agent) members() []distributor.Member {
+	var l []distributor.Member
+	for _, e := range a.follower.state.Endpoints() {
+		if e.Service == a.Service {
+			l = append(l, a.member(e.Address, e.Domain, e.Region, e.Draining))
+		}
+	}
+	return l
+}
+
+func (a *Agent) newFetcher(o *connector.Origin, domain string) *distributor.Fetcher {
+	return &distributor.Fetcher{
+		Self: a.self(), OriginRegion: recorder.Name(a.Regions[domain]), Store: a.chunks, Origin: o,
+		Client: distributor.NewClient(nil), Members: a.members, OriginParallel: originReads,
+		CrossRegionRate: a.RegionLink / bitsPerByte * regionShare,
+		Wait:            chunkWait, Poll: chunkPoll, Stall: chunkStall, Patience: chunkPatience, MaxBackoff: chunkBackoff, Log: a.Log,
+	}
+}
+
+func (a *Agent) handler() http.Handler {
+	m := http.NewServeMux()
+	m.Handle("/", &distributor.Handler{Store: a.chunks, Self: a.self(), SendRate: a.Link / bitsPerByte * linkShare, Log: a.Log})
+	m.HandleFunc("GET /v1/digests/{version}", a.serveDigests)
+	return m
+}
+
+// serveDigests tells the digests of the pieces of a version.
+func (a *Agent) serveDigests(w http.ResponseWriter, q *http.Request) {
+	v, err := strconv.ParseInt(q.PathValue("version"), 10, 64)
+	if err != nil {
+		http.Error(w, "version is not a number", http.StatusBadRequest)
+		return
+	}
+	d := a.loader.KnownDigests(v)
+	if d == nil {
+		http.NotFound(w, q)
+		return
+	}
+	for i := range d {
+		if _, err := w.Write(d[i][:]); err != nil {
+			return
+		}
+	}
+}
+
+// digests asks peers of the own failure domain for the digests of a version.
+func (a *Agent) digests(ctx context.Context, _ string, version int64) ([][32]byte, error) {
+	asked := 0
+	for _, m := range a.members() {
+		if m.Address == a.Peers || string(m.FailureDomain) != a.Domain || asked == digestPeers {
+			continue
+		}
+		asked++
+		if d, err := a.askDigests(ctx, m.Address, version); err == nil {
+			return d, nil
+		}
+	}
+	return nil, errors.Newf("none of %d peers knows version %d", asked, version)
+}
+
+func (a *Agent) askDigests(ctx context.Context, peer netip.AddrPort, version int64) ([][32]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, digestTimeout)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+"/v1/digests/"+strconv.FormatInt(version, 10), http.NoBody)
+	if err != nil {
+		return nil, errors.Wrap(err, "ask for digests")
+	}
+	r, err := a.client.Do(q)
+	if err != nil {
+		return nil, errors.Wrap(err, "ask for digests")
+	}
+	defer func() { _ = r.Body.Close() }()
+	if r.StatusCode != http.StatusOK {
+		return nil, errors.Newf("ask for digests: status %d", r.StatusCode)
+	}
+	return readDigests(r.Body)
+}
+
+// send tells a report to all gateways; one that is lost is followed by the next.
+func (a *Agent) send(r dispatcher.Report) {
+	b, err := json.Marshal(r)
+	if err != nil {
+		a.Log.Error().Err(err).Msg("report-not-encoded")
+		return
+	}
+	for _, g := range a.follower.state.Gateways(a.Domain) {
+		if _, err := a.socket.WriteToUDPAddrPort(b, g.Address); err != nil {
+			a.Log.Debug().Err(err).Str("gateway", g.Name).Msg("report-not-sent")
+		}
+	}
+}
--- /dev/null
+++ b/internal/direct/command.go
@@ -0,0 +1,184 @@
+package direct
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/logger"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/settings"
+)
+
+// The growth of the heap in percent between two collections. Memory is dear on
+// these machines and little is live.
+const (
+	gatewayGCPercent = 50
+	agentGCPercent   = 40
+)
+
+// GatewayCommand returns the command of the gateway.
+func GatewayCommand(p *Platform) *cli.Command {
+	f := append(commonFlags(),
+		settings.String("front", "", "IP address and port for callers"),
+		settings.String("ready", "", "IP address and port for the balancer's question"),
+		settings.Float("cold-factor", 1, "factor of the rate of a cold endpoint"),
+		settings.Float("cold-slack", 0, "requests per second added to the rate of a cold endpoint"),
+		settings.Float("retry-ratio", 0.1, "retries of all gateways for each request"),
+		settings.Float("retry-extra", 24, "retries of all gateways in a window beyond the ratio"),
+		settings.Period("balancer-wait", 2600*time.Millisecond, "time from not ready to the last new connection in a planned stop"),
+		settings.Int64("stop-seconds", 8, "longest time of a planned stop in seconds"),
+	)
+	read := func(c *cli.Command) (*Gateway, io.Closer, error) {
+		var s settings.Faults
+		n := readCommon(&s, c)
+		g := &Gateway{
+			Name: n.name, Domain: n.domain, Region: n.regions[n.domain], Peers: n.peers, Metrics: n.metrics, Store: n.store,
+			Regions: n.regions, Within: n.within, Log: n.log, Platform: p,
+			Front: s.AddrPort("front", c.String("front")), Ready: s.AddrPort("ready", c.String("ready")),
+			Cold: dispatcher.Cold{
+				Factor: s.Float("cold-factor", c.Float("cold-factor"), 0, 1000),
+				Slack:  s.Float("cold-slack", c.Float("cold-slack"), 0, 1e6),
+			},
+			RetryRatio:   s.Float("retry-ratio", c.Float("retry-ratio"), 0, 1),
+			RetryExtra:   s.Float("retry-extra", c.Float("retry-extra"), 0, 1e6),
+			BalancerWait: s.Duration("balancer-wait", c.Duration("balancer-wait"), 0, time.Minute),
+			StopTimeout:  time.Duration(s.Int("stop-seconds", c.Int64("stop-seconds"), 1, 3600)) * time.Second,
+		}
+		if err := s.Err(); err != nil {
+			return nil, n.closer, err
+		}
+		m, err := meter.New("eelgrass-gateway")
+		g.Meter = m
+		return g, n.closer, err
+	}
+	return &cli.Command{
+		Name: "direct", Usage: "send requests straight to endpoints, on a platform without agents before them", Flags: f,
+		Commands: []*cli.Command{settings.Check(f, func(c *cli.Command) error { _, _, err := read(c); return err })},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			g, closer, err := read(c)
+			if err != nil {
+				return err
+			}
+			defer closer.Close()
+			setGC(gatewayGCPercent)
+			return g.Run(ctx)
+		},
+	}
+}
+
+// AgentCommand returns the command of the agent.
+func AgentCommand(p *Platform) *cli.Command {
+	f := append(commonFlags(),
+		settings.String("engine", "", "IP address and port of the engine of this instance"),
+		settings.String("service", "", "service of the engine"),
+		settings.Float("link-mbps", 0, "megabits per second of the instance's link; 0 for no bound"),
+		settings.Float("region-mbps", 0, "megabits per second between two regions; 0 for no bound"),
+	)
+	read := func(c *cli.Command) (*Agent, io.Closer, error) {
+		var s settings.Faults
+		n := readCommon(&s, c)
+		const mega = 1e6
+		a := &Agent{
+			Name: n.name, Domain: n.domain, Region: n.regions[n.domain], Service: c.String("service"), Peers: n.peers,
+			Metrics: n.metrics, Store: n.store, Regions: n.regions, Within: n.within, Log: n.log, Platform: p,
+			Engine:     s.AddrPort("engine", c.String("engine")),
+			Link:       s.Float("link-mbps", c.Float("link-mbps"), 0, 1e6) * mega,
+			RegionLink: s.Float("region-mbps", c.Float("region-mbps"), 0, 1e6) * mega,
+		}
+		if a.Service == "" {
+			s.Add("service", "", "the name of a service")
+		}
+		if err := s.Err(); err != nil {
+			return nil, n.closer, err
+		}
+		m, err := meter.New("eelgrass-agent")
+		a.Meter = m
+		return a, n.closer, err
+	}
+	return &cli.Command{
+		Name: "direct", Usage: "bring the engine of this instance to the named version", Flags: f,
+		Commands: []*cli.Command{settings.Check(f, func(c *cli.Command) error { _, _, err := read(c); return err })},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			a, closer, err := read(c)
+			if err != nil {
+				return err
+			}
+			defer closer.Close()
+			setGC(agentGCPercent)
+			return a.Run(ctx)
+		},
+	}
+}
+
+func setGC(percent int) {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(percent)
+	}
+}
+
+func commonFlags() []cli.Flag {
+	return []cli.Flag{
+		settings.String("name", "", "name of this instance"),
+		settings.String("failure-domain", "", "failure domain of this instance"),
+		settings.Strings("regions", "region of each failure domain, as DOMAIN=REGION"),
+		settings.String("peers", "", "IP address and port towards other processes of the system"),
+		settings.String("metrics", "", "IP address and port of the metrics; empty for none"),
+		settings.String("store", "", "IP address and port of the platform's store"),
+		settings.Int64("version-ms", 8000, "milliseconds in which a named version has to be served everywhere"),
+		settings.LogLevel(),
+	}
+}
+
+// common holds the settings of both programs.
+type common struct {
+	name, domain          string
+	regions               map[string]string
+	peers, metrics, store netip.AddrPort
+	within                time.Duration
+	log                   zerolog.Logger
+	closer                io.Closer
+}
+
+func readCommon(s *settings.Faults, c *cli.Command) common {
+	n := common{
+		name: c.String("name"), domain: c.String("failure-domain"), regions: readRegions(s, c.StringSlice("regions")),
+		peers: s.AddrPort("peers", c.String("peers")), metrics: s.OptionalAddrPort("metrics", c.String("metrics")),
+		store:  s.AddrPort("store", c.String("store")),
+		within: time.Duration(s.Int("version-ms", c.Int64("version-ms"), 1, 1<<31)) * time.Millisecond,
+	}
+	if n.name == "" {
+		s.Add("name", "", "the name of this instance")
+	}
+	if n.regions[n.domain] == "" {
+		s.Add("failure-domain", n.domain, "a failure domain of regions")
+	}
+	l, closer, err := logger.NewBounded(os.Stdout, c.String("log-level"))
+	if err != nil {
+		s.Add("log-level", c.String("log-level"), "debug, info, warn or error")
+	}
+	n.log, n.closer = l.With().Str("instance", n.name).Logger(), closer
+	return n
+}
+
+// readRegions reads pairs of a failure domain and its region.
+func readRegions(s *settings.Faults, l []string) map[string]string {
+	m := make(map[string]string, len(l))
+	for _, p := range l {
+		domain, region, ok := strings.Cut(p, "=")
+		if !ok || domain == "" || region == "" {
+			s.Add("regions", p, "DOMAIN=REGION")
+			continue
+		}
+		m[domain] = region
+	}
+	return m
+}
--- /dev/null
+++ b/internal/direct/metrics.go
@@ -0,0 +1,76 @@
+package direct
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
+	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
+	"github.com/eelgrassdrift/eelgrassdrift/observer"
+)
+
+// metrics are the counters of a gateway.
+type metrics struct {
+	requests      metric.Int64Counter
+	tries         metric.Int64Counter
+	first, waited metric.Float64Histogram
+}
+
+func newMetrics(e *meter.Exporter, d *dispatcher.Dispatcher, s *observer.State) (*metrics, error) {
+	m := &metrics{}
+	var err, all error
+	add := func() { all = errors.CombineErrors(all, err) }
+	m.requests, err = e.Meter.Int64Counter("eelgrass.requests", metric.WithDescription("Requests of callers by service and outcome."))
+	add()
+	m.tries, err = e.Meter.Int64Counter("eelgrass.attempts", metric.WithDescription("Requests sent to endpoints."))
+	add()
+	m.first, err = e.Meter.Float64Histogram("eelgrass.request.first", metric.WithUnit("s"), metric.WithDescription("Time to the first event or the whole answer."))
+	add()
+	m.waited, err = e.Meter.Float64Histogram("eelgrass.request.wait", metric.WithUnit("s"), metric.WithDescription("Time in the queue."))
+	add()
+	endpoints, err := e.Meter.Int64ObservableGauge("eelgrass.endpoints", metric.WithDescription("Endpoints by service and state."))
+	add()
+	load, err := e.Meter.Int64ObservableGauge("eelgrass.load", metric.WithDescription("Requests of this gateway at endpoints and in the queue."))
+	add()
+	revision, err := e.Meter.Int64ObservableGauge("eelgrass.configuration.revision", metric.WithDescription("Revision in force."))
+	add()
+	_, err = e.Meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		if t := s.Table(); t != nil {
+			o.ObserveInt64(revision, int64(t.Configuration.Revision))
+		}
+		for _, p := range d.Status() {
+			observeStatus(o, endpoints, load, p)
+		}
+		return nil
+	}, endpoints, load, revision)
+	add()
+	return m, errors.Wrap(all, "make metrics")
+}
+
+func observeStatus(o metric.Observer, endpoints, load metric.Int64ObservableGauge, p dispatcher.Status) {
+	put := func(g metric.Int64ObservableGauge, state string, n int) {
+		o.ObserveInt64(g, int64(n), metric.WithAttributes(attribute.String("service", p.Service), attribute.String("state", state)))
+	}
+	put(endpoints, "listed", p.Endpoints)
+	put(endpoints, "loaded", p.Loaded)
+	put(endpoints, "cold", p.Cold)
+	put(endpoints, "draining", p.Draining)
+	put(endpoints, "avoided", p.Avoided)
+	put(load, "in-flight", p.InFlight)
+	put(load, "queued", p.Queued)
+}
+
+func (m *metrics) observe(r forwarder.Result) {
+	ctx := context.Background()
+	a := metric.WithAttributes(attribute.String("service", r.Service), attribute.String("outcome", r.Outcome))
+	m.requests.Add(ctx, 1, a)
+	m.tries.Add(ctx, int64(r.Tries), metric.WithAttributes(attribute.String("service", r.Service)))
+	m.waited.Record(ctx, r.Waited.Seconds(), metric.WithAttributes(attribute.String("service", r.Service)))
+	if r.First > 0 {
+		m.first.Record(ctx, r.First.Seconds(), metric.WithAttributes(attribute.String("service", r.Service)))
+	}
+}
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -97,3 +97,8 @@
 		},
 	}
 }
+
+// Float returns a flag that holds a number.
+func Float(name string, value float64, usage string) *cli.FloatFlag {
+	return &cli.FloatFlag{Name: name, Value: value, Usage: usage, Sources: Env(name)}
+}
--- a/internal/settings/faults.go
+++ b/internal/settings/faults.go
@@ -120,3 +120,11 @@
 	f.Add(setting, value, strings.Join(allowed, ", "))
 	return value
 }
+
+// Float checks the bounds of a number.
+func (f *Faults) Float(setting string, value, low, high float64) float64 {
+	if value < low || value > high {
+		f.Add(setting, fmt.Sprint(value), fmt.Sprintf("%g to %g", low, high))
+	}
+	return value
+}
--- /dev/null
+++ b/loader/loader.go
@@ -0,0 +1,435 @@
+package loader
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
+	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/distributor"
+	"github.com/eelgrassdrift/eelgrassdrift/observer"
+	"github.com/eelgrassdrift/eelgrassdrift/recorder"
+	"github.com/eelgrassdrift/eelgrassdrift/resolver"
+)
+
+// Times of a Loader.
+const (
+	// idlePace is the pause between two looks at the target.
+	idlePace = 100 * time.Millisecond
+	// failurePause is the pause after a failed step.
+	failurePause = 250 * time.Millisecond
+	// closeNotice is the time in which the gateways learn that the engine is
+	// about to load, before the order is given.
+	closeNotice = 60 * time.Millisecond
+	// loadMargin bounds the time of a load beyond that of the engine; streams
+	// that run end first.
+	loadMargin = 6 * time.Second
+)
+
+const (
+	// keepShare is the part of a version from which on it is fetched to its end
+	// although a newer one was named.
+	keepShare = 0.5
+	// readBacks is the number of times that staged pieces are mended before an
+	// order is given up.
+	readBacks = 3
+)
+
+// Loader brings the engine of one instance to the named version. Its fields are
+// set before Run.
+type Loader struct {
+	// Service is the service of the engine.
+	Service string
+	// Address of the engine, as in the list.
+	Address netip.AddrPort
+	// Within is the time in which a named version has to be served everywhere.
+	Within   time.Duration
+	State    *observer.State
+	Reporter *Reporter
+	Replica  *connector.Replica
+	// Digests asks other instances for the digests of a version.
+	Digests func(ctx context.Context, model string, version int64) ([][32]byte, error)
+	// Pieces returns a client of an origin.
+	Pieces func(netip.AddrPort) *connector.Pieces
+	// NewFetcher returns a fetcher for an origin in the failure domain.
+	NewFetcher func(o *connector.Origin, domain string) *distributor.Fetcher
+	Store      *distributor.Store
+	Log        zerolog.Logger
+
+	fetcher *distributor.Fetcher
+	origin  netip.AddrPort
+
+	mu sync.Mutex
+	// manifests holds the versions whose manifests are kept in the store.
+	manifests map[int64]*manifest
+	// pieces finds the piece of a digest.
+	pieces map[recorder.Digest]piece
+}
+
+type manifest struct {
+	version recorder.Version
+	*recorder.Manifest
+}
+
+type piece struct {
+	model   string
+	version int64
+	number  int
+}
+
+// Run brings the engine to each version that is named until the context ends.
+func (l *Loader) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := idlePace
+		if err := l.step(ctx); err != nil && ctx.Err() == nil {
+			l.Log.Warn().Err(err).Msg("load-failed")
+			pause = failurePause
+		}
+		sleep(ctx, pause)
+	}
+	return nil
+}
+
+// engine returns the description of the engine and of the origin, or nil.
+func (l *Loader) engine() (*resolver.Engine, *resolver.Service) {
+	t := l.State.Table()
+	if t == nil {
+		return nil, nil
+	}
+	s, o := t.Service(l.Service), t.Configuration.Origin()
+	if s == nil || s.Engine == nil || s.Engine.Chunks == 0 || o == nil {
+		return nil, nil
+	}
+	return s.Engine, o
+}
+
+// target returns the version to serve; the first one where none was named.
+func (l *Loader) target(model string) observer.Named {
+	n := l.State.Target(model, 0)
+	n.Version = max(n.Version, 1)
+	return n
+}
+
+func (l *Loader) step(ctx context.Context) error {
+	e, o := l.engine()
+	state, known := l.Reporter.State()
+	if e == nil || !known {
+		return nil
+	}
+	l.connect(o)
+	n := l.target(e.Model)
+	m, err := l.learn(ctx, e, n.Version)
+	if err != nil {
+		return err
+	}
+	if state.Versions[e.Model] >= n.Version {
+		return l.restore(ctx, e.Model, m)
+	}
+	return l.bring(ctx, e, n, m)
+}
+
+// connect makes the fetcher for the origin.
+func (l *Loader) connect(o *resolver.Service) {
+	if l.origin == o.Origin {
+		return
+	}
+	l.origin = o.Origin
+	p := l.Pieces(o.Origin)
+	l.fetcher = l.NewFetcher(&connector.Origin{Fetch: func(ctx context.Context, d recorder.Digest) (io.ReadCloser, int64, error) {
+		l.mu.Lock()
+		i, ok := l.pieces[d]
+		l.mu.Unlock()
+		if !ok {
+			return nil, 0, fail("fetch piece", classifier.NotFound, errors.Newf("no piece has the digest %s", d))
+		}
+		b, err := p.Piece(ctx, i.model, i.version, i.number)
+		return io.NopCloser(bytes.NewReader(b)), int64(len(b)), err
+	}}, o.Domain)
+}
+
+func fail(op string, k classifier.Kind, err error) error { return &Error{Op: op, Kind: k, Err: err} }
+
+// learn returns the manifest of a version, from other instances or the origin.
+func (l *Loader) learn(ctx context.Context, e *resolver.Engine, version int64) (*manifest, error) {
+	l.mu.Lock()
+	m := l.manifests[version]
+	l.mu.Unlock()
+	if m != nil {
+		return m, nil
+	}
+	d, err := l.Digests(ctx, e.Model, version)
+	if err != nil {
+		l.Log.Debug().Err(err).Int64("version", version).Msg("digests-not-at-peers")
+		if d, err = l.Pieces(l.origin).Manifest(ctx, e.Model, version); err != nil {
+			return nil, fail("learn version "+strconv.FormatInt(version, 10), classifier.Of(err), err)
+		}
+	}
+	if len(d) != e.Chunks {
+		return nil, fail("learn version", classifier.Invalid, errors.Newf("%d digests; the engine takes %d pieces", len(d), e.Chunks))
+	}
+	return l.keep(e, version, d)
+}
+
+// keep makes the manifest of a version from the digests of its pieces. The digest
+// of the whole is that of the digests, as the origin names none.
+func (l *Loader) keep(e *resolver.Engine, version int64, digests [][32]byte) (*manifest, error) {
+	r := &recorder.Manifest{Format: recorder.Format, Size: int64(e.Chunks) * e.ChunkSize, ChunkSize: e.ChunkSize}
+	var all []byte
+	for _, d := range digests {
+		r.Chunks = append(r.Chunks, d)
+		all = append(all, d[:]...)
+	}
+	r.Digest = recorder.DigestOf(all)
+	b, d, err := r.Encode()
+	if err != nil {
+		return nil, err
+	}
+	if _, err := l.Store.Keep(d, b); err != nil {
+		return nil, err
+	}
+	m := &manifest{Manifest: r, version: recorder.Version{
+		Model: recorder.Name(e.Model), Name: recorder.Name(strconv.FormatInt(version, 10)),
+		Manifest: d, Digest: r.Digest, Size: r.Size,
+	}}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.manifests == nil {
+		l.manifests = make(map[int64]*manifest)
+		l.pieces = make(map[recorder.Digest]piece)
+	}
+	l.manifests[version] = m
+	for i, d := range r.Chunks {
+		l.pieces[d] = piece{e.Model, version, i}
+	}
+	l.Log.Info().Str("model", e.Model).Int64("version", version).Str("manifest", d.String()).Msg("version-learned")
+	return m, nil
+}
+
+// KnownDigests returns the digests of a version that this instance knows, or nil.
+func (l *Loader) KnownDigests(version int64) [][32]byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := l.manifests[version]
+	if m == nil {
+		return nil
+	}
+	d := make([][32]byte, len(m.Chunks))
+	for i := range m.Chunks {
+		d[i] = m.Chunks[i]
+	}
+	return d
+}
+
+// restore puts staged pieces into the store, so that peers can have them. A piece
+// that is missing or spoilt is left out.
+func (l *Loader) restore(ctx context.Context, model string, m *manifest) error {
+	var held []int
+	for i, d := range m.Chunks {
+		if l.Store.Has(d) {
+			continue
+		}
+		if held == nil {
+			h, err := l.Replica.Held(ctx, model)
+			if err != nil {
+				return fail("list staged pieces", classifier.Of(err), err)
+			}
+			held = make([]int, len(m.Chunks))
+			for _, n := range h {
+				if n >= 0 && n < len(held) {
+					held[n] = 1
+				}
+			}
+		}
+		if held[i] == 0 {
+			continue
+		}
+		if b, err := l.Replica.Staged(ctx, model, i); err == nil && recorder.DigestOf(b) == d {
+			if err := l.Store.Put(d, b); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// bring takes the engine to a version.
+func (l *Loader) bring(ctx context.Context, e *resolver.Engine, n observer.Named, m *manifest) error {
+	began := time.Now()
+	if err := l.restore(ctx, e.Model, m); err != nil {
+		return err
+	}
+	if done, err := l.fetch(ctx, e.Model, n, m); !done {
+		return err
+	}
+	fetched := time.Since(began)
+	ahead, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go l.fetchAhead(ahead, e, n.Version)
+	if err := l.stage(ctx, e.Model, m); err != nil {
+		return err
+	}
+	l.Log.Info().Int64("version", n.Version).Dur("fetch-ms", fetched).Dur("stage-ms", time.Since(began)-fetched).
+		Int64("received-bytes", l.fetcher.Stats().TotalReceived()).Msg("version-staged")
+	if !l.awaitTurn(ctx, e.Model, n) {
+		return nil
+	}
+	return l.order(ctx, e, n.Version, m)
+}
+
+// fetch fills the store. It reports false where a newer version goes first.
+func (l *Loader) fetch(ctx context.Context, model string, n observer.Named, m *manifest) (bool, error) {
+	work, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var share float64
+	var mu sync.Mutex
+	progress := func(verified, total int) {
+		mu.Lock()
+		defer mu.Unlock()
+		share = float64(verified) / float64(max(total, 1))
+	}
+	go func() {
+		for work.Err() == nil {
+			mu.Lock()
+			s := share
+			mu.Unlock()
+			if s < keepShare && l.target(model).Version > n.Version {
+				l.Log.Info().Int64("version", n.Version).Float64("share", s).Msg("version-superseded")
+				cancel()
+			}
+			sleep(work, idlePace)
+		}
+	}()
+	if _, err := l.fetcher.Fetch(work, m.version, progress); err != nil {
+		if work.Err() != nil {
+			return false, nil
+		}
+		return false, err
+	}
+	return true, nil
+}
+
+// fetchAhead fetches a newer version that is named while this one waits for its
+// turn and loads. A failure is left to the next step, which starts with what is
+// in the store.
+func (l *Loader) fetchAhead(ctx context.Context, e *resolver.Engine, version int64) {
+	for ctx.Err() == nil {
+		sleep(ctx, idlePace)
+		n := l.target(e.Model)
+		if n.Version <= version {
+			continue
+		}
+		m, err := l.learn(ctx, e, n.Version)
+		if err == nil {
+			_, err = l.fetcher.Fetch(ctx, m.version, nil)
+		}
+		l.Log.Debug().Int64("version", n.Version).AnErr("failure", err).Msg("fetched-ahead")
+		return
+	}
+}
+
+// stage stores the pieces at the engine and reads them back.
+func (l *Loader) stage(ctx context.Context, model string, m *manifest) error {
+	for range readBacks {
+		wrong := 0
+		for i, d := range m.Chunks {
+			if b, err := l.Replica.Staged(ctx, model, i); err == nil && recorder.DigestOf(b) == d {
+				continue
+			}
+			wrong++
+			b, ok := l.Store.Get(d)
+			if !ok {
+				return fail("stage", classifier.Unavailable, errors.Newf("piece %d is not here", i))
+			}
+			if err := l.Replica.Stage(ctx, model, i, b); err != nil {
+				return fail("stage piece "+strconv.Itoa(i), classifier.Of(err), err)
+			}
+		}
+		if wrong == 0 {
+			return nil
+		}
+	}
+	return fail("stage", classifier.Unavailable, errors.Newf("pieces differ after %d tries", readBacks))
+}
+
+// awaitTurn waits until the engine may load; false where it is to start anew.
+func (l *Loader) awaitTurn(ctx context.Context, model string, n observer.Named) bool {
+	start := time.Now()
+	if s, _ := l.Reporter.State(); s.Versions[model] > 0 {
+		for _, e := range l.State.Endpoints() {
+			if e.Address == l.Address {
+				start = turnStart(turn(l.State.Endpoints(), e), n.Learned, start, l.Within)
+			}
+		}
+	}
+	for time.Now().Before(start) {
+		if s, ok := l.Reporter.State(); !ok || s.Versions[model] == 0 {
+			break
+		}
+		sleep(ctx, min(idlePace, time.Until(start)))
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// order gives the order to load and waits until the engine serves the version.
+func (l *Loader) order(ctx context.Context, e *resolver.Engine, version int64, m *manifest) error {
+	l.Reporter.Close(ctx, true)
+	defer l.Reporter.Close(ctx, false)
+	sleep(ctx, closeNotice)
+	if err := l.stage(ctx, e.Model, m); err != nil {
+		return err
+	}
+	state, known := l.Reporter.State()
+	if !known {
+		return fail("order", classifier.Unavailable, errors.New("the engine doesn't answer"))
+	}
+	began := time.Now()
+	err := l.Replica.Start(ctx, e.Model, version, state.Orders)
+	l.Log.Info().Int64("version", version).Int64("orders", state.Orders).AnErr("refusal", err).Msg("load-ordered")
+	if err != nil && classifier.Of(err) != classifier.OutcomeUnknown {
+		return err
+	}
+	limit := began.Add(e.Warm + loadMargin)
+	for time.Now().Before(limit) && ctx.Err() == nil {
+		sleep(ctx, idlePace/2)
+		l.Reporter.Read(ctx)
+		s, ok := l.Reporter.State()
+		switch {
+		case ok && !s.Started.Equal(state.Started):
+			return fail("load", classifier.Unavailable, errors.New("the engine restarted"))
+		case ok && s.Versions[e.Model] == version:
+			l.Log.Info().Int64("version", version).Dur("load-ms", time.Since(began)).Msg("version-loaded")
+			l.drop(version)
+			return nil
+		}
+	}
+	return fail("load", classifier.Timeout, errors.Newf("version %d is not loaded after %s", version, time.Since(began)))
+}
+
+// drop frees the versions before the one that is served.
+func (l *Loader) drop(version int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for v, m := range l.manifests {
+		if v >= version {
+			continue
+		}
+		l.Store.Drop(m.version.Manifest)
+		delete(l.manifests, v)
+		for _, d := range m.Chunks {
+			if l.pieces[d].version == v {
+				delete(l.pieces, d)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/observer/table.go
@@ -0,0 +1,91 @@
+package observer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/eelgrassdrift/eelgrassdrift/connector"
+)
+
+// Table is the replica of one keyed table. The zero value is empty and ready.
+// All methods may be called concurrently.
+type Table struct {
+	mu sync.Mutex
+	// items holds dropped keys as well, so that an older record can't bring
+	// them back.
+	items map[string]connector.Item
+	// next is the offset from which the replica has seen nothing.
+	next uint64
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+// Apply merges changes and returns the items that were newer than the known ones.
+func (t *Table) Apply(c connector.Changes) []connector.Item {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.items == nil {
+		t.items = make(map[string]connector.Item)
+	}
+	var fresh []connector.Item
+	present := make(map[string]bool, len(c.Items))
+	for _, i := range c.Items {
+		present[i.Key] = true
+		if old, ok := t.items[i.Key]; !ok || i.Offset > old.Offset {
+			t.items[i.Key] = i
+			fresh = append(fresh, i)
+		}
+	}
+	if c.Full && c.Next > 0 {
+		for k, old := range t.items {
+			if old.Value != nil && !present[k] && old.Offset < c.Next {
+				d := connector.Item{Key: k, Offset: c.Next - 1}
+				t.items[k] = d
+				fresh = append(fresh, d)
+			}
+		}
+	}
+	t.next = max(t.next, c.Next)
+	if len(fresh) > 0 && t.changed != nil {
+		close(t.changed)
+		t.changed = nil
+	}
+	return fresh
+}
+
+// Next returns the offset from which the replica has seen nothing.
+func (t *Table) Next() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.next
+}
+
+// Since returns the items from the offset on, with all keys where from is 0.
+func (t *Table) Since(from uint64) connector.Changes {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := connector.Changes{Next: t.next}
+	for _, i := range t.items {
+		if i.Offset >= from {
+			c.Items = append(c.Items, i)
+		}
+	}
+	return c
+}
+
+// Wait returns when the table changes or the time is over.
+func (t *Table) Wait(done <-chan struct{}, d time.Duration) {
+	t.mu.Lock()
+	if t.changed == nil {
+		t.changed = make(chan struct{})
+	}
+	ch := t.changed
+	t.mu.Unlock()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ch:
+	case <-timer.C:
+	case <-done:
+	}
+}
--- /dev/null
+++ b/resolver/configuration.go
@@ -0,0 +1,184 @@
+package resolver
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
+)
+
+// Repeat tells how often a request may run.
+type Repeat uint8
+
+// The kinds of repeat. The zero value is the one from which the least follows.
+const (
+	// Once means that a request runs at most once.
+	Once Repeat = iota
+	// Any means that a request may run more than once.
+	Any
+	// Resume means that a stream may be resumed by another endpoint.
+	Resume
+)
+
+// Configuration is what the operators declared at one revision.
+type Configuration struct {
+	// Revision rises with each configuration.
+	Revision uint64
+	Routes   []Route
+	Services []Service
+	Accounts []Account
+	Limits   Limits
+}
+
+// Route sends the requests of a host and path prefix to services.
+type Route struct {
+	Name, Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	// Targets has at least one entry, and the weights sum to more than 0.
+	Targets []Target
+	Repeat  Repeat
+	// Streaming tells that the response is a stream of events.
+	Streaming bool
+	// Public routes need no key.
+	Public bool
+	// Timeout is the longest time that a request waits for its answer; above 0.
+	Timeout time.Duration
+	// Aim is the time within which the first byte is due.
+	Aim time.Duration
+	// Gap is the longest pause between two events that is still on time; 0
+	// where the route is not streaming.
+	Gap time.Duration
+	// Attempts bounds the endpoints to which a request is sent; at least 1.
+	Attempts int
+	// Rank is the priority; 0 is the highest.
+	Rank int
+	// Regions are the only regions that may see a request; empty for all.
+	Regions []string
+}
+
+// Target is a service of a route with its weight.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Service is a group of endpoints of the same kind, or an origin of weights.
+type Service struct {
+	Name string
+	// Connections bounds the connections to one endpoint from all gateways; 0
+	// means no bound.
+	Connections int
+	// ColdRate is the number of requests per second that a cold endpoint bears; 0
+	// means that its endpoints are never cold.
+	ColdRate float64
+	// ColdTime is how long an endpoint stays cold after it started.
+	ColdTime time.Duration
+	// Engine describes the model engines; nil for a plain service.
+	Engine *Engine
+	// Origin is the address of the origin of weights; the zero value for a
+	// service that takes requests.
+	Origin netip.AddrPort
+	// Domain is the failure domain of an origin.
+	Domain string
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Model is the name of the model; never empty.
+	Model string
+	// Slots is the number of requests that run at once; at least 1.
+	Slots int
+	// Chunks and ChunkSize describe the weights; ChunkSize is in bytes.
+	Chunks    int
+	ChunkSize int64
+	// Step is the time of one token of a request that runs alone.
+	Step time.Duration
+	// ReadRate is the number of prompt tokens read per second.
+	ReadRate float64
+	// Prompt and Answer are the usual numbers of tokens.
+	Prompt, Answer float64
+	// Warm is the time that an engine takes to load staged weights.
+	Warm time.Duration
+}
+
+// Account is a client account with its keys.
+type Account struct {
+	Name string
+	Keys []string
+	// Rank goes before the rank of the route; nil where the account has none.
+	Rank *int
+	// Regions are the only regions that may see a request; empty for all.
+	Regions []string
+}
+
+// Limits bound what a caller may send; 0 means the default of the server.
+type Limits struct {
+	HeaderBytes, BodyBytes int64
+	HeaderTimeout, Idle    time.Duration
+}
+
+// Check reports the first field that makes the configuration unusable.
+func (c *Configuration) Check() error {
+	for i := range c.Routes {
+		if err := c.Routes[i].check(); err != nil {
+			return &Error{Op: "check route " + c.Routes[i].Name, Kind: classifier.Invalid, Err: err}
+		}
+	}
+	for i := range c.Services {
+		if c.Services[i].Name == "" {
+			return &Error{Op: "check service", Kind: classifier.Invalid, Err: errors.New("field name: empty")}
+		}
+	}
+	for i := range c.Accounts {
+		if c.Accounts[i].Name == "" {
+			return &Error{Op: "check account", Kind: classifier.Invalid, Err: errors.New("field name: empty")}
+		}
+	}
+	return nil
+}
+
+func (r *Route) check() error {
+	total := 0
+	for _, t := range r.Targets {
+		if t.Service == "" || t.Weight < 0 {
+			return errors.Newf("field targets: service %q with weight %d", t.Service, t.Weight)
+		}
+		total += t.Weight
+	}
+	switch {
+	case r.Host == "":
+		return errors.New("field host: empty")
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return errors.Newf("field prefix: %q doesn't begin and end with a slash", r.Prefix)
+	case total == 0:
+		return errors.New("field targets: the weights sum to 0")
+	case r.Timeout <= 0:
+		return errors.Newf("field timeout: %s is not above 0", r.Timeout)
+	case r.Attempts < 1:
+		return errors.Newf("field attempts: %d is below 1", r.Attempts)
+	}
+	return nil
+}
+
+// Service returns the service of a name, or nil.
+func (c *Configuration) Service(name string) *Service {
+	i := slices.IndexFunc(c.Services, func(s Service) bool { return s.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &c.Services[i]
+}
+
+// Origin returns the origin of weights, or nil.
+func (c *Configuration) Origin() *Service {
+	i := slices.IndexFunc(c.Services, func(s Service) bool { return s.Origin.IsValid() })
+	if i < 0 {
+		return nil
+	}
+	return &c.Services[i]
+}
--- /dev/null
+++ b/resolver/table.go
@@ -0,0 +1,131 @@
+package resolver
+
+import (
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
+)
+
+// The causes of a refusal, made once since refusals are on the request path.
+var (
+	errRoute = &Error{Op: "resolve", Kind: classifier.NotFound, Err: errors.New("no route takes the host and path")}
+	errKey   = &Error{Op: "resolve", Kind: classifier.Unauthenticated, Err: errors.New("no client account holds the key")}
+)
+
+// Table answers requests from one configuration. It is immutable.
+type Table struct {
+	// Configuration is what the table was made of; it isn't changed.
+	Configuration *Configuration
+
+	// hosts holds the routes of each host, the longest prefix first.
+	hosts    map[string][]*Route
+	services map[string]*Service
+	keys     map[string]*Account
+}
+
+// Match is the answer to a request.
+type Match struct {
+	Route *Route
+	// Account is nil on a public route.
+	Account *Account
+}
+
+// New compiles a configuration, which must have passed Check.
+func New(c *Configuration) *Table {
+	t := &Table{
+		Configuration: c,
+		hosts:         make(map[string][]*Route),
+		services:      make(map[string]*Service, len(c.Services)),
+		keys:          make(map[string]*Account),
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		h := strings.ToLower(r.Host)
+		t.hosts[h] = append(t.hosts[h], r)
+	}
+	for _, l := range t.hosts {
+		slices.SortStableFunc(l, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Accounts {
+		for _, k := range c.Accounts[i].Keys {
+			t.keys[k] = &c.Accounts[i]
+		}
+	}
+	return t
+}
+
+// Service returns the service of a name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Resolve returns the route and account of a request. The error is of kind
+// NotFound or Unauthenticated. A configuration without accounts needs no keys.
+func (t *Table) Resolve(host, path, key string) (Match, error) {
+	r := t.route(host, path)
+	if r == nil {
+		return Match{}, errRoute
+	}
+	if r.Public || len(t.Configuration.Accounts) == 0 {
+		return Match{Route: r}, nil
+	}
+	a := t.keys[key]
+	if key == "" || a == nil {
+		return Match{}, errKey
+	}
+	return Match{Route: r, Account: a}, nil
+}
+
+func (t *Table) route(host, path string) *Route {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Rank returns the priority of the request; 0 is the highest.
+func (m Match) Rank() int {
+	if m.Account != nil && m.Account.Rank != nil {
+		return *m.Account.Rank
+	}
+	return m.Route.Rank
+}
+
+// Allows reports whether an endpoint of the region may see the request. The
+// regions of route and account bind both.
+func (m Match) Allows(region string) bool {
+	if len(m.Route.Regions) > 0 && !slices.Contains(m.Route.Regions, region) {
+		return false
+	}
+	return m.Account == nil || len(m.Account.Regions) == 0 || slices.Contains(m.Account.Regions, region)
+}
+
+// Pick returns a target by weight; n is a random number from 0 up to, but not
+// including, Route.Weight.
+func (r *Route) Pick(n int) string {
+	for _, t := range r.Targets {
+		if n -= t.Weight; n < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Weight returns the sum of the weights.
+func (r *Route) Weight() int {
+	n := 0
+	for _, t := range r.Targets {
+		n += t.Weight
+	}
+	return n
+}
