dispatcher: bound the prompts that an engine has not read yet

Cause: an engine reads one prompt after the other. Ruled out: full endpoints (mean load 4 of 16), the queue (waited 0). Change: each gateway gives an engine at most its part of 0.6 aims of reading ahead, and prefers engines that read less. With it: fetch and load side by side, turns spread evenly, fewer chunks in flight, aborted connections are reset, requests with free endpoints of their own don't wait for others.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -24,6 +24,12 @@
 	// are not near: a hop between regions is worth less than two of 16 slots.
 	otherDomain = 0.05
 	otherRegion = 0.1
+	// readShare is the part of a request's aim that engines may spend on reading
+	// the prompts before it, summed over all gateways.
+	readShare = 0.6
+	// readCost is the relative load that prompts which take the whole aim to read
+	// stand for.
+	readCost = 2
 	// faultCost is the relative load that a share of failures of 1 stands for.
 	faultCost = 3
 	// maxQueue bounds the requests that wait for one service at one gateway.
@@ -74,7 +80,9 @@
 	waiting []*waiter
 	// model is the model of the engines; empty for a plain service.
 	model string
-	named observer.Named
+	// readRate is the number of prompt tokens that an engine reads per second.
+	readRate float64
+	named    observer.Named
 	// coldShare is the number of requests per second that this gateway may send
 	// to a cold endpoint.
 	coldShare int
@@ -91,6 +99,9 @@
 	Exclude []string
 	// Until is when the request is refused if it still waits.
 	Until time.Time
+	// Prompt is the number of tokens to be read before the first answer; 0 for a
+	// plain service.
+	Prompt int
 }
 
 // Lease is a request at an endpoint until Done.
@@ -107,6 +118,8 @@
 	d    *Dispatcher
 	pool *pool
 	node *node
+	// reading is the time that the engine takes to read the prompt, until it did.
+	reading time.Duration
 }
 
 // Outcome tells how a lease ended.
@@ -178,7 +191,7 @@
 		}
 		p.coldShare = d.coldShare(s.ColdRate)
 		if s.Engine != nil {
-			p.model = s.Engine.Model
+			p.model, p.readRate = s.Engine.Model, s.Engine.ReadRate
 			p.named = d.State.Target(p.model, d.Grace)
 		}
 	}
@@ -256,12 +269,13 @@
 		d.mu.Unlock()
 		return nil, refuse(classifier.Unavailable, "no-endpoint", absentRetry)
 	}
-	if len(p.waiting) == 0 || d.isAhead(p, r) {
-		if n := d.pick(p, r, now); n != nil {
-			l := d.lease(p, n, now)
-			d.mu.Unlock()
-			return l, nil
-		}
+	// What is free goes to those that wait first. What they can't use, for example
+	// because of their regions, must not wait for them.
+	d.grant(p)
+	if n := d.pick(p, r, now); n != nil {
+		l := d.lease(p, n, r, now)
+		d.mu.Unlock()
+		return l, nil
 	}
 	if err := d.mayWait(p, r, now); err != nil {
 		d.mu.Unlock()
@@ -273,9 +287,6 @@
 	return d.await(ctx, p, w)
 }
 
-// isAhead reports whether the request goes before all that wait.
-func (d *Dispatcher) isAhead(p *pool, r Request) bool { return r.Match.Rank() < p.waiting[0].rank }
-
 func (p *pool) enqueue(w *waiter) {
 	i := len(p.waiting)
 	for i > 0 && p.waiting[i-1].rank > w.rank {
@@ -378,7 +389,7 @@
 			continue
 		}
 		p.waiting = slices.Delete(p.waiting, i, i+1)
-		l := d.lease(p, n, now)
+		l := d.lease(p, n, w.request, now)
 		l.Waited = now.Sub(w.since)
 		w.granted <- l
 	}
@@ -414,7 +425,13 @@
 		if load >= limit {
 			continue
 		}
+		if n.reading > 0 && n.reading+p.readTime(r) > d.readBound(r) {
+			continue
+		}
 		s := float64(load)/float64(limit) + d.distance(n) + faultCost*n.faults
+		if aim := r.Match.Route.Aim; aim > 0 {
+			s += readCost * float64(n.reading) / float64(aim)
+		}
 		if best == nil || s < low || s == low && rand.IntN(2) == 0 {
 			best, low = n, s
 		}
@@ -422,6 +439,21 @@
 	return best
 }
 
+// readTime is the time that an engine takes to read the prompt.
+func (p *pool) readTime(r Request) time.Duration {
+	if p.readRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(r.Prompt) / p.readRate * float64(time.Second))
+}
+
+// readBound is the time of reading that this gateway gives an engine ahead. An
+// engine reads one prompt after the other, and all gateways may choose the same
+// one before they see each other's requests in its reports.
+func (d *Dispatcher) readBound(r Request) time.Duration {
+	return time.Duration(readShare * float64(r.Match.Route.Aim) / float64(d.gateways))
+}
+
 func (d *Dispatcher) distance(n *node) float64 {
 	switch {
 	case n.Region != d.Region:
@@ -433,11 +465,13 @@
 	}
 }
 
-func (d *Dispatcher) lease(p *pool, n *node, now time.Time) *Lease {
+func (d *Dispatcher) lease(p *pool, n *node, r Request, now time.Time) *Lease {
 	l := &Lease{Endpoint: n.Endpoint, Load: n.load(now, d.gateways), d: d, pool: p, node: n}
 	if p.model != "" {
 		l.Version = n.version(p.model, now)
 	}
+	l.reading = p.readTime(r)
+	n.reading += l.reading
 	n.inFlight++
 	if !now.After(n.coldUntil) {
 		n.sent = append(n.sent, now)
@@ -445,6 +479,21 @@
 	return l
 }
 
+// Read notes that the engine has read the prompt. Further calls do nothing.
+func (l *Lease) Read() {
+	l.d.mu.Lock()
+	defer l.d.mu.Unlock()
+	if l.reading > 0 {
+		l.read()
+		l.d.grant(l.pool)
+	}
+}
+
+func (l *Lease) read() {
+	l.node.reading -= l.reading
+	l.reading = 0
+}
+
 // Done ends the lease; it is called exactly once.
 func (l *Lease) Done(o Outcome) {
 	d, n := l.d, l.node
@@ -452,6 +501,7 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	n.inFlight--
+	l.read()
 	switch o {
 	case Served:
 		n.succeeded()
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -60,6 +60,10 @@
 	reportedAt   time.Time
 	inFlightThen int
 
+	// reading is the time that the engine takes to read the prompts of this
+	// gateway that it hasn't answered yet.
+	reading time.Duration
+
 	coldUntil  time.Time
 	avoidUntil time.Time
 	// failures counts the failures in a row.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -65,10 +65,10 @@
 		return verdict{outcome: retrier.NotRun, lease: dispatcher.Failed, err: err}
 	}
 	a.conn = conn
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, conn.abort)
 	v := a.exchange()
 	if !stop() || a.response == nil || a.response.Close || v.err != nil || v.lease == dispatcher.Failed {
-		_ = conn.Close()
+		conn.abort()
 	} else {
 		t.put(a.lease.Endpoint.Address, conn, a.response.Header.Get("Keep-Alive"))
 	}
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
 )
 
@@ -34,9 +35,12 @@
 	header                http.Header
 	body                  []byte
 	match                 resolver.Match
-	service               string
-	start, deadline       time.Time
+	// prompt is the number of tokens of the prompt.
+	prompt          int
+	service         string
+	start, deadline time.Time
 
+	lease *dispatcher.Lease
 	// lines reads the body of the present stream.
 	lines *bufio.Reader
 	// started tells that bytes of a stream went to the caller.
@@ -96,6 +100,7 @@
 		return
 	}
 	c.started = true
+	c.lease.Read()
 	c.first = time.Since(c.start)
 	copyHeader(c.w.Header(), r.Header)
 	c.front.close(c.w.Header())
--- a/forwarder/front.go
+++ b/forwarder/front.go
@@ -21,6 +21,8 @@
 )
 
 const (
+	// maxPrompt bounds the number of tokens that a caller may name.
+	maxPrompt = 1 << 24
 	// defaultBody bounds a body where the configuration names no limit, in bytes.
 	defaultBody = 4 << 20
 	// maxDials bounds the connections that could not be made for one call; they
@@ -163,6 +165,10 @@
 	}
 	c.header = n.outgoing(q.Header, account)
 	c.lastEvent = q.Header.Get(n.ResumeFrom)
+	tokens, _, _ := strings.Cut(q.Header.Get(n.Tokens), ",")
+	if k, err := strconv.Atoi(tokens); err == nil {
+		c.prompt = max(0, min(k, maxPrompt))
+	}
 	c.service = m.Route.Pick(rand.IntN(m.Route.Weight()))
 	left := m.Route.Timeout
 	if ms, err := strconv.ParseInt(q.Header.Get(n.Deadline), 10, 64); err == nil && ms > 0 {
@@ -193,7 +199,7 @@
 	var last verdict
 	for {
 		l, err := c.front.Dispatcher.Acquire(c.ctx, dispatcher.Request{
-			Service: c.service, Match: c.match, Exclude: c.tried, Until: c.queueUntil(),
+			Service: c.service, Match: c.match, Exclude: c.tried, Until: c.queueUntil(), Prompt: c.prompt,
 		})
 		if err != nil {
 			c.unplaced(err, last)
@@ -224,6 +230,7 @@
 }
 
 func (c *call) note(l *dispatcher.Lease) {
+	c.lease = l
 	c.endpoint, c.version, c.load = l.Endpoint.ID, l.Version, l.Load
 	c.waited += l.Waited
 }
--- a/forwarder/headers.go
+++ b/forwarder/headers.go
@@ -24,6 +24,9 @@
 	NotRun string
 	// Cold is the time in milliseconds for which the endpoint stays cold.
 	Cold string
+	// Tokens holds the numbers of tokens of the prompt and, at most, of the answer,
+	// with a comma between them.
+	Tokens string
 	// ResumeFrom is the id of the last event that the caller has.
 	ResumeFrom string
 }
--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -89,6 +89,16 @@
 	return errors.CombineErrors(e, err)
 }
 
+// abort closes the connection and drops what was not yet delivered. Otherwise the
+// kernel would go on to deliver a request behind a cut link after its caller left.
+func (c *connection) abort() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		// A connection that is closed already needs nothing.
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // take returns an idle connection that is open and silent, or nil.
 func (t *Transport) take(a netip.AddrPort) *connection {
 	for {
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -32,6 +33,10 @@
 	chunkBackoff  = 300 * time.Millisecond
 	// digestTimeout bounds the question for digests at one peer.
 	digestTimeout = 300 * time.Millisecond
+	// digestWait bounds the wait for a peer that asks the origin, and digestPause
+	// is the pause between two questions.
+	digestWait  = 400 * time.Millisecond
+	digestPause = 40 * time.Millisecond
 )
 
 const (
@@ -40,6 +45,12 @@
 	linkShare = 0.85
 	// regionShare is the part of the link between regions for chunks.
 	regionShare = 0.8
+	// peerChunks and leadChunks bound the chunks in flight to this instance, and
+	// sentChunks those on their way from it. On these links a chunk takes as long as
+	// a few tokens, and the requests and events of the engine queue behind them.
+	peerChunks = 2
+	leadChunks = 1
+	sentChunks = 1
 	// originReads bounds the reads of one agent at the origin.
 	originReads = 2
 	// digestPeers is the number of peers that are asked for digests.
@@ -149,13 +160,14 @@
 		Self: a.self(), OriginRegion: recorder.Name(a.Regions[domain]), Store: a.chunks, Origin: o,
 		Client: distributor.NewClient(nil), Members: a.members, OriginParallel: originReads,
 		CrossRegionRate: a.RegionLink / bitsPerByte * regionShare,
-		Wait:            chunkWait, Poll: chunkPoll, Stall: chunkStall, Patience: chunkPatience, MaxBackoff: chunkBackoff, Log: a.Log,
+		Parallel:        peerChunks, LeadParallel: leadChunks,
+		Wait: chunkWait, Poll: chunkPoll, Stall: chunkStall, Patience: chunkPatience, MaxBackoff: chunkBackoff, Log: a.Log,
 	}
 }
 
 func (a *Agent) handler() http.Handler {
 	m := http.NewServeMux()
-	m.Handle("/", &distributor.Handler{Store: a.chunks, Self: a.self(), SendRate: a.Link / bitsPerByte * linkShare, Log: a.Log})
+	m.Handle("/", &distributor.Handler{Store: a.chunks, Self: a.self(), SendRate: a.Link / bitsPerByte * linkShare, SendParallel: sentChunks, Log: a.Log})
 	m.HandleFunc("GET /v1/digests/{version}", a.serveDigests)
 	return m
 }
@@ -179,19 +191,28 @@
 	}
 }
 
-// digests asks peers of the own failure domain for the digests of a version.
+// digests asks the first instances of the own failure domain for the digests of a
+// version. The first of all asks the origin, so the others wait for it a while.
 func (a *Agent) digests(ctx context.Context, _ string, version int64) ([][32]byte, error) {
-	asked := 0
-	for _, m := range a.members() {
-		if m.Address == a.Peers || string(m.FailureDomain) != a.Domain || asked == digestPeers {
-			continue
+	l := slices.DeleteFunc(a.members(), func(m distributor.Member) bool { return string(m.FailureDomain) != a.Domain })
+	slices.SortFunc(l, func(x, y distributor.Member) int { return x.Address.Compare(y.Address) })
+	l = l[:min(len(l), digestPeers)]
+	for until := time.Now().Add(digestWait); time.Now().Before(until); {
+		for _, m := range l {
+			if m.Address == a.Peers {
+				return nil, errors.New("this instance asks the origin")
+			}
+			if d, err := a.askDigests(ctx, m.Address, version); err == nil {
+				return d, nil
+			}
 		}
-		asked++
-		if d, err := a.askDigests(ctx, m.Address, version); err == nil {
-			return d, nil
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(digestPause):
 		}
 	}
-	return nil, errors.Newf("none of %d peers knows version %d", asked, version)
+	return nil, errors.Newf("none of %d peers knows version %d", len(l), version)
 }
 
 func (a *Agent) askDigests(ctx context.Context, peer netip.AddrPort, version int64) ([][32]byte, error) {
--- a/internal/direct/command.go
+++ b/internal/direct/command.go
@@ -5,8 +5,10 @@
 	"io"
 	"net/netip"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -70,6 +72,7 @@
 			}
 			defer closer.Close()
 			setGC(gatewayGCPercent)
+			go keepSettings(ctx, g.Log)
 			return g.Run(ctx)
 		},
 	}
@@ -114,11 +117,28 @@
 			}
 			defer closer.Close()
 			setGC(agentGCPercent)
+			go keepSettings(ctx, a.Log)
 			return a.Run(ctx)
 		},
 	}
 }
 
+// keepSettings answers SIGHUP. All settings are flags and environment variables,
+// which a running process can't read anew; they take effect at the next start.
+func keepSettings(ctx context.Context, log zerolog.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			log.Info().Str("reason", "settings are flags").Msg("reload-kept-settings")
+		}
+	}
+}
+
 func setGC(percent int) {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(percent)
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -121,7 +121,7 @@
 	})
 	g.Go(func() error {
 		return (&observer.Follower{
-			Name: gatewayTable, Table: &f.gateways, Sources: f.sources(gatewayTable, f.tables.Gateways, false),
+			Name: gatewayTable, Table: &f.gateways, Sources: f.sources(gatewayTable, f.tables.Gateways, agent),
 			Wait: decisionWait, Pace: gatewayPace, Log: f.log,
 			Changed: func(fresh []connector.Item, _ bool) { f.state.ApplyGateways(fresh) },
 		}).Run(ctx)
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -50,7 +50,7 @@
 	retryGateways = 8
 	// graceShare is the part of the time to the deadline of a version in which an
 	// older one may be used; the rest is for requests that wait at an engine.
-	graceShare = 0.8
+	graceShare = 0.9
 	// maxDatagram bounds a report in bytes.
 	maxDatagram = 2048
 )
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -5,12 +5,15 @@
 	"context"
 	"io"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
@@ -67,6 +70,10 @@
 	fetcher *distributor.Fetcher
 	origin  netip.AddrPort
 
+	// complete is the newest version whose pieces are all in the store, or that
+	// the engine serves already.
+	complete atomic.Int64
+
 	mu sync.Mutex
 	// manifests holds the versions whose manifests are kept in the store.
 	manifests map[int64]*manifest
@@ -86,11 +93,20 @@
 }
 
 // Run brings the engine to each version that is named until the context ends.
+// Fetching and loading go on side by side, so that a version that is named while
+// another one loads is on its way already.
 func (l *Loader) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return l.repeat(ctx, "fetch-failed", l.fetchStep) })
+	g.Go(func() error { return l.repeat(ctx, "load-failed", l.loadStep) })
+	return g.Wait()
+}
+
+func (l *Loader) repeat(ctx context.Context, failure string, step func(context.Context) error) error {
 	for ctx.Err() == nil {
 		pause := idlePace
-		if err := l.step(ctx); err != nil && ctx.Err() == nil {
-			l.Log.Warn().Err(err).Msg("load-failed")
+		if err := step(ctx); err != nil && ctx.Err() == nil {
+			l.Log.Warn().Err(err).Msg(failure)
 			pause = failurePause
 		}
 		sleep(ctx, pause)
@@ -118,22 +134,71 @@
 	return n
 }
 
-func (l *Loader) step(ctx context.Context) error {
+// fetchStep fills the store with the newest version that was named.
+func (l *Loader) fetchStep(ctx context.Context) error {
 	e, o := l.engine()
-	state, known := l.Reporter.State()
-	if e == nil || !known {
+	if _, known := l.Reporter.State(); e == nil || !known {
 		return nil
 	}
 	l.connect(o)
 	n := l.target(e.Model)
+	if l.complete.Load() >= n.Version {
+		return nil
+	}
 	m, err := l.learn(ctx, e, n.Version)
 	if err != nil {
 		return err
 	}
-	if state.Versions[e.Model] >= n.Version {
-		return l.restore(ctx, e.Model, m)
+	if err := l.restore(ctx, e.Model, m); err != nil {
+		return err
+	}
+	if s, ok := l.Reporter.State(); ok && s.Versions[e.Model] >= n.Version {
+		// The engine serves the version; what is staged is for the peers.
+		l.complete.Store(n.Version)
+		return nil
+	}
+	began := time.Now()
+	if done, err := l.fetch(ctx, e.Model, n, m); !done {
+		return err
+	}
+	l.Log.Info().Int64("version", n.Version).Dur("fetch-ms", time.Since(began)).
+		Int64("received-bytes", l.fetcher.Stats().TotalReceived()).Msg("version-fetched")
+	l.complete.Store(n.Version)
+	return nil
+}
+
+// loadStep brings the engine to the newest version that is complete.
+func (l *Loader) loadStep(ctx context.Context) error {
+	e, _ := l.engine()
+	state, known := l.Reporter.State()
+	version := l.complete.Load()
+	if e == nil || !known || state.Versions[e.Model] >= version {
+		return nil
+	}
+	l.mu.Lock()
+	m := l.manifests[version]
+	l.mu.Unlock()
+	if m == nil {
+		return nil
+	}
+	if !l.has(m) {
+		// The engine served the version without all pieces here, and restarted.
+		l.complete.CompareAndSwap(version, 0)
+		return nil
+	}
+	if err := l.stage(ctx, e.Model, m); err != nil {
+		return err
+	}
+	l.Log.Info().Int64("version", version).Msg("version-staged")
+	if !l.awaitTurn(ctx, e.Model, version) {
+		return nil
 	}
-	return l.bring(ctx, e, n, m)
+	return l.order(ctx, e, version, m)
+}
+
+// has reports whether all pieces are in the store.
+func (l *Loader) has(m *manifest) bool {
+	return !slices.ContainsFunc(m.Chunks, func(d recorder.Digest) bool { return !l.Store.Has(d) })
 }
 
 // connect makes the fetcher for the origin.
@@ -260,30 +325,6 @@
 	return nil
 }
 
-// bring takes the engine to a version.
-func (l *Loader) bring(ctx context.Context, e *resolver.Engine, n observer.Named, m *manifest) error {
-	began := time.Now()
-	if err := l.restore(ctx, e.Model, m); err != nil {
-		return err
-	}
-	if done, err := l.fetch(ctx, e.Model, n, m); !done {
-		return err
-	}
-	fetched := time.Since(began)
-	ahead, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go l.fetchAhead(ahead, e, n.Version)
-	if err := l.stage(ctx, e.Model, m); err != nil {
-		return err
-	}
-	l.Log.Info().Int64("version", n.Version).Dur("fetch-ms", fetched).Dur("stage-ms", time.Since(began)-fetched).
-		Int64("received-bytes", l.fetcher.Stats().TotalReceived()).Msg("version-staged")
-	if !l.awaitTurn(ctx, e.Model, n) {
-		return nil
-	}
-	return l.order(ctx, e, n.Version, m)
-}
-
 // fetch fills the store. It reports false where a newer version goes first.
 func (l *Loader) fetch(ctx context.Context, model string, n observer.Named, m *manifest) (bool, error) {
 	work, cancel := context.WithCancel(ctx)
@@ -316,25 +357,6 @@
 	return true, nil
 }
 
-// fetchAhead fetches a newer version that is named while this one waits for its
-// turn and loads. A failure is left to the next step, which starts with what is
-// in the store.
-func (l *Loader) fetchAhead(ctx context.Context, e *resolver.Engine, version int64) {
-	for ctx.Err() == nil {
-		sleep(ctx, idlePace)
-		n := l.target(e.Model)
-		if n.Version <= version {
-			continue
-		}
-		m, err := l.learn(ctx, e, n.Version)
-		if err == nil {
-			_, err = l.fetcher.Fetch(ctx, m.version, nil)
-		}
-		l.Log.Debug().Int64("version", n.Version).AnErr("failure", err).Msg("fetched-ahead")
-		return
-	}
-}
-
 // stage stores the pieces at the engine and reads them back.
 func (l *Loader) stage(ctx context.Context, model string, m *manifest) error {
 	for range readBacks {
@@ -359,26 +381,25 @@
 	return fail("stage", classifier.Unavailable, errors.Newf("pieces differ after %d tries", readBacks))
 }
 
-// awaitTurn waits until the engine may load; false where it is to start anew.
-func (l *Loader) awaitTurn(ctx context.Context, model string, n observer.Named) bool {
+// awaitTurn waits until the engine may load. It returns false where a newer version
+// is complete meanwhile, so that the engine loads only that one.
+func (l *Loader) awaitTurn(ctx context.Context, model string, version int64) bool {
+	n := l.target(model)
+	if n.Version != version {
+		n.Learned = time.Time{}
+	}
 	start := time.Now()
 	if s, _ := l.Reporter.State(); s.Versions[model] > 0 {
-		for _, e := range l.State.Endpoints() {
-			if e.Address == l.Address {
-				start = turnStart(turn(l.State.Endpoints(), e), n.Learned, start, l.Within)
-			}
-		}
+		place := place(l.State.Endpoints(), l.Service, l.Address)
+		start = turnStart(place, n.Learned, start, l.Within)
 	}
-	for time.Now().Before(start) {
+	for time.Now().Before(start) && l.complete.Load() == version {
 		if s, ok := l.Reporter.State(); !ok || s.Versions[model] == 0 {
 			break
 		}
 		sleep(ctx, min(idlePace, time.Until(start)))
-		if ctx.Err() != nil {
-			return false
-		}
 	}
-	return true
+	return ctx.Err() == nil && l.complete.Load() == version
 }
 
 // order gives the order to load and waits until the engine serves the version.
--- a/loader/turn.go
+++ b/loader/turn.go
@@ -1,56 +1,50 @@
 package loader
 
 import (
+	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 )
 
 const (
-	// turns is the number of groups that load one after the other.
-	turns = 3
-	// secondTurn and lastTurn are the parts of the time to the deadline of a
-	// version at which the turns after the first begin. What is left after the
-	// last is for the requests that run and for the load itself.
-	secondTurn = 0.5
-	lastTurn   = 0.64
-	// lateStep is the pause between the turns where the time at which the version
-	// was named isn't known.
-	lateStep = time.Second
+	// firstTurn and lastTurn are the parts of the time to the deadline of a version
+	// between which the engines that serve an older one begin to load. What is left
+	// after the last is for the requests that run and for the load itself.
+	firstTurn = 0.38
+	lastTurn  = 0.8
 )
 
-// turn returns the group of an endpoint among those of its service. The endpoints
-// of a failure domain are spread over the groups.
-func turn(list map[string]*observer.Endpoint, e *observer.Endpoint) int {
-	var same []*observer.Endpoint
-	for _, o := range list {
-		if o.Service == e.Service {
-			same = append(same, o)
+// place returns the place of an endpoint among those of its service and failure
+// domain, from 0 to below 1. Endpoints of all domains are thus mixed evenly.
+func place(list map[string]*observer.Endpoint, service string, a netip.AddrPort) float64 {
+	domain := ""
+	for _, e := range list {
+		if e.Service == service && e.Address == a {
+			domain = e.Domain
 		}
 	}
-	slices.SortFunc(same, func(a, b *observer.Endpoint) int {
-		if c := strings.Compare(a.Domain, b.Domain); c != 0 {
-			return c
+	var same []netip.AddrPort
+	for _, e := range list {
+		if e.Service == service && e.Domain == domain {
+			same = append(same, e.Address)
 		}
-		return a.Address.Compare(b.Address)
-	})
-	return max(0, slices.Index(same, e)) % turns
+	}
+	slices.SortFunc(same, netip.AddrPort.Compare)
+	i, found := slices.BinarySearchFunc(same, a, netip.AddrPort.Compare)
+	if !found {
+		return 0
+	}
+	return float64(i) / float64(len(same))
 }
 
-// turnStart returns when a group may load a version that is due within the given
-// time after it was learned of.
-func turnStart(group int, learned, now time.Time, within time.Duration) time.Time {
+// turnStart returns when an engine may load a version that is due within the given
+// time after it was learned of. Where that isn't known, the turns begin now.
+func turnStart(place float64, learned, now time.Time, within time.Duration) time.Time {
+	span := time.Duration(float64(within) * (lastTurn - firstTurn) * place)
 	if learned.IsZero() {
-		return now.Add(time.Duration(group) * lateStep)
-	}
-	switch group {
-	case 0:
-		return now
-	case 1:
-		return learned.Add(time.Duration(float64(within) * secondTurn))
-	default:
-		return learned.Add(time.Duration(float64(within) * lastTurn))
+		return now.Add(span)
 	}
+	return learned.Add(time.Duration(float64(within)*firstTurn) + span)
 }
--- a/observer/follower.go
+++ b/observer/follower.go
@@ -47,7 +47,7 @@
 	Changed func(fresh []connector.Item, first bool)
 	// Failed is called when the first source didn't answer; it may be nil.
 	Failed func()
-	Log     zerolog.Logger
+	Log    zerolog.Logger
 
 	failedAt time.Time
 	// lost is set while the first source doesn't answer.
