loader: end the turns earlier, more chunks in flight

Cause: with one chunk led and two from peers in flight the fetch took 4.0 to 5.0 s for 24 engines, and the last turn began at 0.8 of the time, so that a third of the engines served no version that was allowed any more. Change: 3 chunks from peers, 2 led, 2 sent; the last turn begins at 0.66.

--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -48,9 +48,9 @@
 	// peerChunks and leadChunks bound the chunks in flight to this instance, and
 	// sentChunks those on their way from it. On these links a chunk takes as long as
 	// a few tokens, and the requests and events of the engine queue behind them.
-	peerChunks = 2
-	leadChunks = 1
-	sentChunks = 1
+	peerChunks = 3
+	leadChunks = 2
+	sentChunks = 2
 	// originReads bounds the reads of one agent at the origin.
 	originReads = 2
 	// digestPeers is the number of peers that are asked for digests.
--- a/loader/turn.go
+++ b/loader/turn.go
@@ -13,7 +13,7 @@
 	// between which the engines that serve an older one begin to load. What is left
 	// after the last is for the requests that run and for the load itself.
 	firstTurn = 0.38
-	lastTurn  = 0.8
+	lastTurn  = 0.66
 )
 
 // place returns the place of an endpoint among those of its service and failure
