forwarder: test attempts against scripted endpoints, dispatcher: last resort

Cause: an endpoint whose answer broke was left alone; with two endpoints that failed at once, requests were refused although both took work. Found by the scripted test of the forwarder. Change: an endpoint that failed is the last resort and no longer closed. A request that came back waits longer, in a queue of its own with a sixth of the slots.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -32,6 +32,9 @@
 	readCost = 2
 	// faultCost is the relative load that a share of failures of 1 stands for.
 	faultCost = 3
+	// patientEvery is the number of grants of which one goes to a request that is
+	// late already. Under lasting overload the others stay in time.
+	patientEvery = 6
 	// maxQueue bounds the requests that wait for one service at one gateway.
 	maxQueue = 512
 )
@@ -77,7 +80,10 @@
 type pool struct {
 	service string
 	nodes   map[string]*node
-	waiting []*waiter
+	// fresh and patient are the queues, each by rank and then by arrival.
+	fresh, patient []*waiter
+	// grants counts the slots given to queued requests.
+	grants int
 	// model is the model of the engines; empty for a plain service.
 	model string
 	// readRate is the number of prompt tokens that an engine reads per second.
@@ -99,6 +105,9 @@
 	Exclude []string
 	// Until is when the request is refused if it still waits.
 	Until time.Time
+	// Patient requests were refused before and are late already. They get a part
+	// of the free slots while others wait, and all that the others leave.
+	Patient bool
 	// Prompt is the number of tokens to be read before the first answer; 0 for a
 	// plain service.
 	Prompt int
@@ -287,12 +296,31 @@
 	return d.await(ctx, p, w)
 }
 
+// queue returns the queue of a request.
+func (p *pool) queue(r Request) *[]*waiter {
+	if r.Patient {
+		return &p.patient
+	}
+	return &p.fresh
+}
+
 func (p *pool) enqueue(w *waiter) {
-	i := len(p.waiting)
-	for i > 0 && p.waiting[i-1].rank > w.rank {
+	q := p.queue(w.request)
+	i := len(*q)
+	for i > 0 && (*q)[i-1].rank > w.rank {
 		i--
 	}
-	p.waiting = slices.Insert(p.waiting, i, w)
+	*q = slices.Insert(*q, i, w)
+}
+
+// remove takes a waiter off its queue and reports whether it was there.
+func (p *pool) remove(w *waiter) bool {
+	q := p.queue(w.request)
+	i := slices.Index(*q, w)
+	if i >= 0 {
+		*q = slices.Delete(*q, i, i+1)
+	}
+	return i >= 0
 }
 
 func refuse(k classifier.Kind, reason string, after time.Duration) *Error {
@@ -311,24 +339,33 @@
 	if !soon {
 		return refuse(classifier.Unavailable, "no-endpoint", absentRetry)
 	}
-	ahead := 1
-	for _, w := range p.waiting {
-		if w.rank <= r.Match.Rank() {
-			ahead++
-		}
-	}
 	left := r.Until.Sub(now)
-	if left <= 0 || len(p.waiting) >= maxQueue {
+	if left <= 0 || len(p.fresh)+len(p.patient) >= maxQueue {
 		return refuse(classifier.Exhausted, "full", fullRetry)
 	}
 	if rate := p.rate(now); usable > 0 && rate > 0 {
-		if wait := time.Duration(float64(ahead) / rate * float64(time.Second)); wait > left {
+		if wait := time.Duration(p.ahead(r) / rate * float64(time.Second)); wait > left {
 			return refuse(classifier.Exhausted, "queue-too-long", max(fullRetry, wait))
 		}
 	}
 	return nil
 }
 
+// ahead is the number of slots that become free until the request gets one, if
+// what is ahead of it stays as it is.
+func (p *pool) ahead(r Request) float64 {
+	n := 1.0
+	for _, w := range *p.queue(r) {
+		if w.rank <= r.Match.Rank() {
+			n++
+		}
+	}
+	if r.Patient && len(p.fresh) > 0 {
+		return n * patientEvery
+	}
+	return n
+}
+
 // rate is the number of slots per second that became free lately for requests
 // of this gateway; 0 where too few did to tell.
 func (p *pool) rate(now time.Time) float64 {
@@ -371,8 +408,7 @@
 func (d *Dispatcher) leave(p *pool, w *waiter) *Lease {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if i := slices.Index(p.waiting, w); i >= 0 {
-		p.waiting = slices.Delete(p.waiting, i, i+1)
+	if p.remove(w) {
 		return nil
 	}
 	return <-w.granted
@@ -381,18 +417,31 @@
 // grant gives free slots to waiting requests. The caller holds the lock.
 func (d *Dispatcher) grant(p *pool) {
 	now := d.now()
-	for i := 0; i < len(p.waiting); {
-		w := p.waiting[i]
-		n := d.pick(p, w.request, now)
-		if n == nil {
-			i++
-			continue
+	for d.grantOne(p, now) {
+	}
+}
+
+// grantOne gives a slot to the first request that can use one.
+func (d *Dispatcher) grantOne(p *pool, now time.Time) bool {
+	first, second := p.fresh, p.patient
+	if p.grants%patientEvery == patientEvery-1 {
+		first, second = second, first
+	}
+	for _, q := range [...][]*waiter{first, second} {
+		for _, w := range q {
+			n := d.pick(p, w.request, now)
+			if n == nil {
+				continue
+			}
+			p.remove(w)
+			p.grants++
+			l := d.lease(p, n, w.request, now)
+			l.Waited = now.Sub(w.since)
+			w.granted <- l
+			return true
 		}
-		p.waiting = slices.Delete(p.waiting, i, i+1)
-		l := d.lease(p, n, w.request, now)
-		l.Waited = now.Sub(w.since)
-		w.granted <- l
 	}
+	return false
 }
 
 // isAllowed reports whether the rules let the request go to the endpoint,
@@ -414,11 +463,27 @@
 }
 
 // pick returns the endpoint with the lowest relative load that has room, or nil.
+// Endpoints that failed lately are taken only where no other may be used.
 func (d *Dispatcher) pick(p *pool, r Request, now time.Time) *node {
+	n, others := d.pickAmong(p, r, now, false)
+	if n == nil && !others {
+		n, _ = d.pickAmong(p, r, now, true)
+	}
+	return n
+}
+
+// pickAmong picks among the endpoints that failed lately or among the others, and
+// reports whether there are any that may be used, with room or without.
+func (d *Dispatcher) pickAmong(p *pool, r Request, now time.Time, suspect bool) (*node, bool) {
 	var best *node
 	var low float64
+	found := false
 	for _, n := range p.nodes {
-		if !d.isUsable(p, n, r, now) || n.coldFull(now, p.coldShare) {
+		if now.Before(n.suspectUntil) != suspect || !d.isUsable(p, n, r, now) {
+			continue
+		}
+		found = true
+		if n.coldFull(now, p.coldShare) {
 			continue
 		}
 		load, limit := n.load(now, d.gateways), n.limit()
@@ -436,7 +501,7 @@
 			best, low = n, s
 		}
 	}
-	return best
+	return best, found
 }
 
 // readTime is the time that an engine takes to read the prompt.
@@ -533,12 +598,12 @@
 	now := d.now()
 	var l []Status
 	for _, p := range d.pools {
-		s := Status{Service: p.service, Endpoints: len(p.nodes), Queued: len(p.waiting)}
+		s := Status{Service: p.service, Endpoints: len(p.nodes), Queued: len(p.fresh) + len(p.patient)}
 		for _, n := range p.nodes {
 			s.InFlight += n.inFlight
 			s.Draining += count(n.Draining)
 			s.Cold += count(now.Before(n.coldUntil))
-			s.Avoided += count(now.Before(n.avoidUntil))
+			s.Avoided += count(now.Before(n.avoidUntil) || now.Before(n.suspectUntil))
 			s.Loaded += count(p.model == "" || n.version(p.model, now) >= max(1, p.named.Version))
 		}
 		l = append(l, s)
--- a/dispatcher/doc.go
+++ b/dispatcher/doc.go
@@ -7,7 +7,9 @@
 // the lowest load relative to its slots, with a small preference for near ones.
 // A request that finds all slots taken waits in the pool's queue, by rank and then
 // in the order of arrival, as long as the queue drains fast enough to serve it in
-// time; otherwise it is refused at once with the time at which to come back.
+// time; otherwise it is refused at once with the time at which to come back. One
+// that came back is late anyway; it waits longer, in a queue of its own that gets a
+// small part of the slots while there are others.
 //
 // Nothing here opens a connection; time and the list come in from outside. The
 // load that the decisions answer is the arrival of more streams than the engines
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -12,10 +12,10 @@
 	// reportAge is how long a report of an endpoint's load is used; reports come
 	// five times a second.
 	reportAge = 1200 * time.Millisecond
-	// minAvoid and maxAvoid bound the time for which an endpoint that failed is
-	// left alone. It doubles with each failure in a row.
-	minAvoid = 300 * time.Millisecond
-	maxAvoid = 3 * time.Second
+	// minSuspect and maxSuspect bound the time for which an endpoint that failed is
+	// the last resort. It doubles with each failure in a row.
+	minSuspect = 300 * time.Millisecond
+	maxSuspect = 3 * time.Second
 	// refusedAvoid is how long an endpoint that refused a request as full is
 	// left alone; about the time in which one of its slots becomes free.
 	refusedAvoid = 60 * time.Millisecond
@@ -64,8 +64,12 @@
 	// gateway that it hasn't answered yet.
 	reading time.Duration
 
-	coldUntil  time.Time
+	coldUntil time.Time
+	// avoidUntil is when an endpoint that refused a request may be asked again.
 	avoidUntil time.Time
+	// suspectUntil is the time until which an endpoint that failed gets requests
+	// only where there is no other.
+	suspectUntil time.Time
 	// failures counts the failures in a row.
 	failures int
 	// faults is the moving mean share of requests that failed.
@@ -120,16 +124,17 @@
 	return len(n.sent) >= share
 }
 
-// failed notes a failure and leaves the endpoint alone for a while.
+// failed notes a failure and makes the endpoint the last resort for a while.
 func (n *node) failed(now time.Time) {
 	n.faults += (1 - n.faults) * faultWeight
-	d := min(minAvoid<<min(n.failures, 8), maxAvoid)
+	d := min(minSuspect<<min(n.failures, 8), maxSuspect)
 	n.failures++
-	n.avoid(now.Add(d))
+	n.suspectUntil = now.Add(d)
 }
 
 func (n *node) succeeded() {
 	n.failures = 0
+	n.suspectUntil = time.Time{}
 	n.faults -= n.faults * faultWeight
 }
 
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -35,6 +35,8 @@
 	header                http.Header
 	body                  []byte
 	match                 resolver.Match
+	// patient tells that the caller was refused before.
+	patient bool
 	// prompt is the number of tokens of the prompt.
 	prompt          int
 	service         string
--- a/forwarder/front.go
+++ b/forwarder/front.go
@@ -33,6 +33,13 @@
 	queueShare = 0.5
 	// minQueue is the least time that a request may wait for a slot.
 	minQueue = 100 * time.Millisecond
+	// repeatShare is the part of a route's usual deadline below which a request
+	// is a repeat.
+	repeatShare = 0.92
+	// patientShare is the part of its deadline that a repeat may wait for a slot,
+	// and maxPatience bounds it.
+	patientShare = 0.45
+	maxPatience  = 2500 * time.Millisecond
 	// startRetry is when to come back to a gateway that knows no configuration.
 	startRetry = time.Second
 )
@@ -58,8 +65,10 @@
 	Observe func(Result)
 	Log     zerolog.Logger
 
-	budgets  sync.Map
-	stopping atomic.Bool
+	budgets sync.Map
+	// deadlines holds the longest deadline of callers seen on each route.
+	deadlines sync.Map
+	stopping  atomic.Bool
 }
 
 // Result describes an answered call.
@@ -173,12 +182,35 @@
 	left := m.Route.Timeout
 	if ms, err := strconv.ParseInt(q.Header.Get(n.Deadline), 10, 64); err == nil && ms > 0 {
 		left = min(left, time.Duration(ms)*time.Millisecond)
+		c.patient = c.front.cameBack(m.Route.Name, ms)
 	}
 	c.deadline = c.start.Add(left)
 }
 
+// cameBack tells a repeat of a caller by its deadline, which is shorter than that
+// of the first tries on the route.
+func (f *Front) cameBack(route string, ms int64) bool {
+	v, ok := f.deadlines.Load(route)
+	if !ok {
+		v, _ = f.deadlines.LoadOrStore(route, new(atomic.Int64))
+	}
+	most := v.(*atomic.Int64)
+	for {
+		old := most.Load()
+		if ms <= old {
+			return float64(ms) < repeatShare*float64(old)
+		}
+		if most.CompareAndSwap(old, ms) {
+			return false
+		}
+	}
+}
+
 // queueUntil is when the call is refused if it still waits for a slot.
 func (c *call) queueUntil() time.Time {
+	if c.patient {
+		return c.start.Add(min(maxPatience, time.Duration(float64(c.deadline.Sub(c.start))*patientShare)))
+	}
 	d := max(minQueue, time.Duration(float64(c.match.Route.Aim)*queueShare))
 	if c.tries > 0 {
 		return earlier(time.Now().Add(d), c.deadline)
@@ -199,7 +231,7 @@
 	var last verdict
 	for {
 		l, err := c.front.Dispatcher.Acquire(c.ctx, dispatcher.Request{
-			Service: c.service, Match: c.match, Exclude: c.tried, Until: c.queueUntil(), Prompt: c.prompt,
+			Service: c.service, Match: c.match, Exclude: c.tried, Until: c.queueUntil(), Prompt: c.prompt, Patient: c.patient,
 		})
 		if err != nil {
 			c.unplaced(err, last)
--- /dev/null
+++ b/forwarder/front_test.go
@@ -0,0 +1,306 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/rs/zerolog"
+
+	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
+	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
+	"github.com/eelgrassdrift/eelgrassdrift/observer"
+	"github.com/eelgrassdrift/eelgrassdrift/resolver"
+)
+
+var headers = forwarder.Headers{
+	RequestID: "X-Id", Deadline: "X-Deadline", Instance: "X-Instance", Version: "X-Version", Account: "X-Account",
+	Urgency: "X-Urgency", Signature: "X-Signature", NotRun: "X-Not-Run", Cold: "X-Cold", Tokens: "X-Tokens", ResumeFrom: "Last-Event-Id",
+}
+
+// script is a list of steps that endpoints take in the order of their requests.
+type script struct {
+	mu    sync.Mutex
+	steps []string
+}
+
+func (s *script) next() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.steps) == 0 {
+		return "ok"
+	}
+	step := s.steps[0]
+	s.steps = s.steps[1:]
+	return step
+}
+
+// backend is an endpoint that answers each request as a script says. Its answers
+// are written as bytes, so that they can be wrong in any way.
+type backend struct {
+	net.Listener
+	mu     sync.Mutex
+	script *script
+	// seen holds what each request brought.
+	seen []string
+	ran  int
+}
+
+func newBackend(t *testing.T) *backend {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &backend{Listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(c)
+		}
+	}()
+	return b
+}
+
+func (b *backend) address() netip.AddrPort { return b.Addr().(*net.TCPAddr).AddrPort() }
+
+func (b *backend) next(q *http.Request, body string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	step := b.script.next()
+	if !strings.HasPrefix(step, "refuse") && step != "misdirect" {
+		b.ran++
+	}
+	s := fmt.Sprintf("%s %s instance=%s account=%s", q.Method, q.RequestURI, q.Header.Get(headers.Instance), q.Header.Get(headers.Account))
+	if body != "" {
+		s += " body=" + body
+	}
+	if q.Header.Get("Authorization") != "" {
+		s += " KEY-PASSED-ON"
+	}
+	if v := q.Header.Get(headers.ResumeFrom); v != "" {
+		s += " resume=" + v
+	}
+	b.seen = append(b.seen, s)
+	return step
+}
+
+func (b *backend) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(q.Body)
+		if !b.answer(c, q, b.next(q, string(body))) {
+			return
+		}
+	}
+}
+
+// answer writes the answer of a step and reports whether the connection is kept.
+func (b *backend) answer(c net.Conn, q *http.Request, step string) bool {
+	id := q.Header.Get(headers.RequestID)
+	head := func(status, id, more string) string {
+		return "HTTP/1.1 " + status + "\r\nX-Id: " + id + "\r\nX-Signature: s\r\n" + more
+	}
+	whole := head("200 OK", id, "Content-Length: 5\r\n\r\nhello")
+	refusal := "HTTP/1.1 %s\r\nX-Id: " + id + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	name, argument, _ := strings.Cut(step, " ")
+	n, _ := strconv.Atoi(argument)
+	out, keep := whole, true
+	switch name {
+	case "refuse":
+		out = fmt.Sprintf(refusal, "503 Busy")
+	case "misdirect":
+		out = fmt.Sprintf(refusal, "421 Misdirected")
+	case "fail":
+		out = head("500 Broken", id, "Content-Length: 3\r\n\r\nbad")
+	case "unproved":
+		out = head("503 Busy", id, "Content-Length: 3\r\n\r\nbad")
+	case "drop":
+		return false
+	case "short":
+		out, keep = head("200 OK", id, "Content-Length: 9\r\n\r\nhello"), false
+	case "unsigned":
+		out = "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 5\r\n\r\nhello"
+	case "foreign":
+		out = head("200 OK", "other", "Content-Length: 5\r\n\r\nhello")
+	case "garbage":
+		out, keep = "\x01\x02\x03 what\r\n\r\n", false
+	case "twice":
+		out = whole + strings.Replace(whole, "hello", "other", 1)
+	case "unframed":
+		out, keep = head("200 OK", id, "\r\nhello"), false
+	case "reset":
+		_ = c.(*net.TCPConn).SetLinger(0)
+		out, keep = head("200 OK", id, "\r\nhello"), false
+		_, _ = io.WriteString(c, out)
+		time.Sleep(20 * time.Millisecond)
+		return false
+	case "stream", "cut", "cut-inside", "silent":
+		return b.stream(c, q, head, name, n)
+	}
+	_, _ = io.WriteString(c, out)
+	return keep
+}
+
+// stream writes n events behind the one from which the stream resumes.
+func (b *backend) stream(c net.Conn, q *http.Request, head func(string, string, string) string, name string, n int) bool {
+	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	_, _ = io.WriteString(c, head("200 OK", q.Header.Get(headers.RequestID), "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+	chunk := func(s string) { _, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(s), s) }
+	for i := from + 1; i <= from+n; i++ {
+		chunk(fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i))
+	}
+	switch name {
+	case "cut":
+		return false
+	case "cut-inside":
+		chunk(fmt.Sprintf("id: %d\ndata: half", from+n+1))
+		return false
+	case "silent":
+		time.Sleep(3 * time.Second)
+		return false
+	}
+	_, _ = io.WriteString(c, "0\r\n\r\n")
+	return true
+}
+
+// configuration has a route for each kind of request.
+func configuration() *resolver.Configuration {
+	route := func(name string, repeat resolver.Repeat) resolver.Route {
+		return resolver.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Targets: []resolver.Target{{Service: "s", Weight: 1}},
+			Repeat: repeat, Timeout: 2 * time.Second, Aim: 400 * time.Millisecond, Gap: 100 * time.Millisecond, Attempts: 2,
+		}
+	}
+	return &resolver.Configuration{
+		Routes:   []resolver.Route{route("any", resolver.Any), route("once", resolver.Once), route("resume", resolver.Resume)},
+		Services: []resolver.Service{{Name: "s"}},
+		Accounts: []resolver.Account{{Name: "members", Keys: []string{"key"}}},
+	}
+}
+
+func newFront(t *testing.T, backends int) (*forwarder.Front, []*backend) {
+	state := &observer.State{
+		Decode: func(string, []byte) (*observer.Decision, error) {
+			return &observer.Decision{Configuration: configuration()}, nil
+		},
+		Now: time.Now, Log: zerolog.Nop(),
+	}
+	state.ApplyOperator([]connector.Item{{Key: "c", Value: []byte("x")}}, true)
+	var all []*backend
+	var items []connector.Item
+	for i := range backends {
+		all = append(all, newBackend(t))
+		items = append(items, connector.Item{Key: fmt.Sprintf("i%d", i), Value: []byte("x")})
+	}
+	state.DecodeEndpoint = func(key string, _ []byte) (*observer.Endpoint, error) {
+		n, _ := strconv.Atoi(key[1:])
+		return &observer.Endpoint{ID: key, Service: "s", Address: all[n].address(), Domain: "a", Region: "r", Slots: 4}, nil
+	}
+	state.ApplyEndpoints(items)
+	d := &dispatcher.Dispatcher{Domain: "a", Region: "r", State: state}
+	d.Update()
+	return &forwarder.Front{
+		Headers: headers, Dispatcher: d, Transport: &forwarder.Transport{}, Table: state.Table, Log: zerolog.Nop(),
+		Budget: forwarder.Budget{Share: 1, Burst: 100},
+	}, all
+}
+
+// Each script line is "ROUTE: STEP, STEP ..."; the steps are taken by whichever
+// endpoint gets the next attempt. The output tells what the caller got and what
+// the endpoints saw. It guards against answers that look whole and aren't,
+// requests that run twice, and refusals of requests that may have run.
+func TestFront(t *testing.T) {
+	datadriven.RunTest(t, "testdata/front", func(t *testing.T, d *datadriven.TestData) string {
+		var out strings.Builder
+		f, all := newFront(t, 2)
+		s := httptest.NewServer(f)
+		for line := range strings.Lines(d.Input) {
+			if !d.HasArg("kept") {
+				// An endpoint that failed is avoided for a while.
+				s.Close()
+				f, all = newFront(t, 2)
+				s = httptest.NewServer(f)
+			}
+			route, steps, _ := strings.Cut(strings.TrimSpace(line), ": ")
+			script := &script{steps: strings.Split(steps, ", ")}
+			for _, b := range all {
+				b.script = script
+			}
+			fmt.Fprintf(&out, "%s -> %s\n", route, ask(s.URL, route))
+			out.WriteString(drain(all))
+		}
+		s.Close()
+		return out.String()
+	})
+}
+
+// drain returns what the endpoints saw, without their names, which are random.
+func drain(all []*backend) string {
+	ran, seen := 0, 0
+	var resumes []string
+	for _, b := range all {
+		b.mu.Lock()
+		ran += b.ran
+		seen += len(b.seen)
+		for _, s := range b.seen {
+			if strings.Contains(s, "KEY-PASSED-ON") || !strings.Contains(s, "account=members") {
+				resumes = append(resumes, "WRONG "+s)
+			}
+			if _, r, ok := strings.Cut(s, "resume="); ok {
+				resumes = append(resumes, "resume="+r)
+			}
+		}
+		b.ran, b.seen = 0, nil
+		b.mu.Unlock()
+	}
+	return strings.TrimRight(fmt.Sprintf("  sent %d ran %d %s", seen, ran, strings.Join(resumes, " ")), " ") + "\n"
+}
+
+func ask(url, route string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	q, _ := http.NewRequestWithContext(ctx, http.MethodPost, url+"/"+route+"/x?y=1", strings.NewReader("body"))
+	q.Host = "h"
+	q.Header.Set("Authorization", "Bearer key")
+	q.Header.Set(headers.RequestID, "id-1")
+	q.Header.Set(headers.Account, "forged")
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return "connection closed"
+	}
+	defer func() { _ = r.Body.Close() }()
+	b, err := io.ReadAll(r.Body)
+	text := strings.ReplaceAll(strings.TrimSpace(string(b)), "\n", "|")
+	if r.Header.Get(headers.Signature) == "" {
+		text = "own"
+	}
+	out := fmt.Sprintf("%d %s", r.StatusCode, text)
+	if err != nil {
+		out += " BROKEN OFF"
+	}
+	if r.Header.Get("Retry-After") != "" {
+		out += " retry-after"
+	}
+	return out
+}
