--- /dev/null
+++ b/dispatcher/dispatcher_test.go
@@ -0,0 +1,245 @@
+package dispatcher_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
+	"github.com/eelgrassdrift/eelgrassdrift/observer"
+	"github.com/eelgrassdrift/eelgrassdrift/resolver"
+)
+
+// world is a dispatcher with a clock and a list that a script sets.
+type world struct {
+	now    time.Time
+	state  *observer.State
+	d      *dispatcher.Dispatcher
+	offset uint64
+	leases map[string][]*dispatcher.Lease
+	// regions are the regions that requests of the home route may go to.
+	regions []string
+}
+
+func newWorld() *world {
+	w := &world{now: time.Unix(1000, 0), leases: make(map[string][]*dispatcher.Lease)}
+	w.state = &observer.State{
+		Decode: decodeOperator, DecodeEndpoint: decodeEndpoint, DecodeGateway: decodeGateway,
+		Now: func() time.Time { return w.now }, Log: zerolog.Nop(),
+	}
+	w.state.ApplyOperator([]connector.Item{w.item("config", "config")}, true)
+	w.d = &dispatcher.Dispatcher{
+		Domain: "a", Region: "ra", State: w.state, Now: w.state.Now,
+		Cold: dispatcher.Cold{Factor: 1.5, Slack: 5}, Grace: 7 * time.Second,
+	}
+	return w
+}
+
+func (w *world) item(key, value string) connector.Item {
+	w.offset++
+	i := connector.Item{Key: key, Offset: w.offset}
+	if value != "" {
+		i.Value = []byte(value)
+	}
+	return i
+}
+
+// decodeOperator reads "config", "out DOMAIN" and "version N".
+func decodeOperator(_ string, v []byte) (*observer.Decision, error) {
+	f := strings.Fields(string(v))
+	switch f[0] {
+	case "out":
+		return &observer.Decision{Evacuated: f[1]}, nil
+	case "version":
+		n, _ := strconv.ParseInt(f[1], 10, 64)
+		return &observer.Decision{Target: &observer.Target{Model: "m", Version: n}}, nil
+	}
+	return &observer.Decision{Configuration: &resolver.Configuration{Revision: 1, Services: []resolver.Service{
+		{Name: "s", ColdRate: 38, ColdTime: 3 * time.Second, Engine: &resolver.Engine{Model: "m", Slots: 4, ReadRate: 10_000}},
+	}}}, nil
+}
+
+// decodeEndpoint reads "DOMAIN VERSION [draining] [cold=MS] [started=N]".
+func decodeEndpoint(key string, v []byte) (*observer.Endpoint, error) {
+	f := strings.Fields(string(v))
+	n, _ := strconv.ParseInt(f[1], 10, 64)
+	port, _ := strconv.Atoi(key[1:])
+	e := &observer.Endpoint{
+		ID: key, Service: "s", Domain: f[0], Region: "r" + f[0], Slots: 4, Versions: map[string]int64{"m": n},
+		Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(port)), Draining: slices.Contains(f, "draining"),
+	}
+	for _, a := range f {
+		k, v, _ := strings.Cut(a, "=")
+		n, _ := strconv.Atoi(v)
+		switch k {
+		case "cold":
+			e.Cold = time.Duration(n) * time.Millisecond
+		case "started":
+			e.Started = time.Unix(int64(n), 0)
+		}
+	}
+	return e, nil
+}
+
+func decodeGateway(v []byte) (*observer.Gateway, error) {
+	return &observer.Gateway{Name: string(v)}, nil
+}
+
+// run carries out one line of a script and returns what it shows.
+func (w *world) run(line string) string {
+	f := strings.Fields(line)
+	switch f[0] {
+	case "endpoint":
+		w.state.ApplyEndpoints([]connector.Item{w.item(f[1], strings.Join(f[2:], " "))})
+	case "gone":
+		w.state.ApplyEndpoints([]connector.Item{w.item(f[1], "")})
+	case "operator":
+		w.state.ApplyOperator([]connector.Item{w.item(f[1], strings.Join(f[2:], " "))}, false)
+	case "gateways":
+		n, _ := strconv.Atoi(f[1])
+		for i := range n {
+			name := fmt.Sprintf("g%d", i)
+			w.state.ApplyGateways([]connector.Item{w.item(name, name)})
+		}
+	case "sleep":
+		d, _ := time.ParseDuration(f[1])
+		w.now = w.now.Add(d)
+	case "report":
+		w.report(f)
+	case "send":
+		return w.send(f)
+	case "done":
+		return w.done(f)
+	}
+	w.d.Update()
+	return ""
+}
+
+// report ID VERSION LOAD [closed]
+func (w *world) report(f []string) {
+	port, _ := strconv.Atoi(f[1][1:])
+	v, _ := strconv.ParseInt(f[2], 10, 64)
+	load, _ := strconv.Atoi(f[3])
+	w.d.Report(dispatcher.Report{
+		Address:  netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(port)),
+		Versions: map[string]int64{"m": v}, Load: load, Closed: slices.Contains(f, "closed"),
+	})
+}
+
+// send N [home=REGION] [prompt=N] [not=ID] sends requests that don't wait, and
+// counts where they went.
+func (w *world) send(f []string) string {
+	n, _ := strconv.Atoi(f[1])
+	r := dispatcher.Request{Service: "s", Until: w.now.Add(-1), Match: resolver.Match{Route: &resolver.Route{Aim: 400 * time.Millisecond}}}
+	for _, a := range f[2:] {
+		k, v, _ := strings.Cut(a, "=")
+		switch k {
+		case "home":
+			r.Match.Route.Regions = []string{v}
+		case "prompt":
+			r.Prompt, _ = strconv.Atoi(v)
+		case "not":
+			r.Exclude = []string{v}
+		}
+	}
+	count := make(map[string]int)
+	for range n {
+		l, err := w.d.Acquire(context.Background(), r)
+		var e *dispatcher.Error
+		switch {
+		case errors.As(err, &e):
+			count["refused-"+e.Reason]++
+		default:
+			count[l.Endpoint.ID]++
+			w.leases[l.Endpoint.ID] = append(w.leases[l.Endpoint.ID], l)
+		}
+	}
+	var out []string
+	for k, n := range count {
+		out = append(out, fmt.Sprintf("%s:%d", k, n))
+	}
+	slices.Sort(out)
+	return strings.Join(out, " ")
+}
+
+// done ID OUTCOME ends all leases of an endpoint.
+func (w *world) done(f []string) string {
+	o := map[string]dispatcher.Outcome{
+		"served": dispatcher.Served, "failed": dispatcher.Failed, "full": dispatcher.Full, "misdirected": dispatcher.Misdirected,
+	}[f[2]]
+	for _, l := range w.leases[f[1]] {
+		l.Done(o)
+	}
+	delete(w.leases, f[1])
+	return ""
+}
+
+// The scripts guard against requests to endpoints that are leaving, out, cold, of
+// an older version, in another region than the request's homes, or full.
+func TestDispatcher(t *testing.T) {
+	datadriven.RunTest(t, "testdata/dispatcher", func(_ *testing.T, d *datadriven.TestData) string {
+		w := newWorld()
+		var out strings.Builder
+		for line := range strings.Lines(d.Input) {
+			if s := w.run(line); s != "" {
+				fmt.Fprintln(&out, s)
+			}
+		}
+		return out.String()
+	})
+}
+
+// A request whose homes have no room must not keep others from free endpoints, and
+// a free slot goes to the request that waits for it.
+func TestWaiting(t *testing.T) {
+	w := newWorld()
+	w.run("endpoint e1 a 1")
+	w.run("endpoint e2 b 1")
+	w.run("send 4 home=rb")
+	home := dispatcher.Request{Service: "s", Until: w.now.Add(time.Hour), Match: resolver.Match{Route: &resolver.Route{Regions: []string{"rb"}}}}
+	got := make(chan string)
+	go func() {
+		l, err := w.d.Acquire(context.Background(), home)
+		if err != nil {
+			got <- err.Error()
+			return
+		}
+		got <- l.Endpoint.ID
+	}()
+	for w.d.Status()[0].Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if s := w.run("send 1"); s != "e1:1" {
+		t.Errorf("a request without homes got %q", s)
+	}
+	w.leases["e2"][0].Done(dispatcher.Served)
+	if s := <-got; s != "e2" {
+		t.Errorf("the waiting request got %q", s)
+	}
+}
+
+// A caller that leaves the queue must not take a slot with it.
+func TestLeaving(t *testing.T) {
+	w := newWorld()
+	w.run("endpoint e1 a 1")
+	w.run("send 4")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	r := dispatcher.Request{Service: "s", Until: w.now.Add(time.Hour), Match: resolver.Match{Route: &resolver.Route{}}}
+	if _, err := w.d.Acquire(ctx, r); err == nil {
+		t.Fatal("a caller that left got a lease")
+	}
+	if s := w.d.Status()[0]; s.Queued != 0 || s.InFlight != 4 {
+		t.Errorf("queued %d, in flight %d", s.Queued, s.InFlight)
+	}
+}
--- /dev/null
+++ b/loader/loader_test.go
@@ -0,0 +1,298 @@
+package loader_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
+	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
+	"github.com/eelgrassdrift/eelgrassdrift/distributor"
+	"github.com/eelgrassdrift/eelgrassdrift/loader"
+	"github.com/eelgrassdrift/eelgrassdrift/observer"
+	"github.com/eelgrassdrift/eelgrassdrift/resolver"
+)
+
+const (
+	pieces    = 6
+	pieceSize = 4 << 10
+)
+
+var (
+	engineAddress = netip.MustParseAddrPort("127.0.0.2:1")
+	originAddress = netip.MustParseAddrPort("127.0.0.3:1")
+)
+
+func weights(version int64, piece int) []byte {
+	b := make([]byte, pieceSize)
+	b[0], b[1] = byte(version), byte(piece)
+	return b
+}
+
+// engine is a model engine that loads whatever is staged.
+type engine struct {
+	mu      sync.Mutex
+	started time.Time
+	staged  map[int][]byte
+	// loaded is the version that was ordered, whole tells that all its pieces
+	// were right at the order.
+	loaded int64
+	whole  bool
+	orders int64
+	// spoil is called with the pieces at the first order after it is set.
+	beforeRead func(staged map[int][]byte)
+	reads      int
+	loads      []int64
+}
+
+func (e *engine) replica() *connector.Replica {
+	return &connector.Replica{
+		Report: func(context.Context) (connector.ReplicaReport, error) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			r := connector.ReplicaReport{Started: e.started, Orders: e.orders}
+			if e.loaded > 0 {
+				r.Versions = map[string]int64{"m": e.loaded}
+			}
+			return r, nil
+		},
+		Staged: func(_ context.Context, _ string, n int) ([]byte, error) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.reads++
+			if e.beforeRead != nil {
+				e.beforeRead(e.staged)
+			}
+			if b, ok := e.staged[n]; ok {
+				return b, nil
+			}
+			return nil, &loader.Error{Op: "staged", Kind: classifier.NotFound, Err: errors.New("none")}
+		},
+		Held: func(context.Context, string) ([]int, error) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			var l []int
+			for n := range e.staged {
+				l = append(l, n)
+			}
+			return l, nil
+		},
+		Stage: func(_ context.Context, _ string, n int, b []byte) error {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.staged[n] = slices.Clone(b)
+			return nil
+		},
+		Start: func(_ context.Context, _ string, version, orders int64) error {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if orders != e.orders {
+				return &loader.Error{Op: "start", Kind: classifier.Conflict, Err: errors.New("another order came first")}
+			}
+			e.orders++
+			e.loaded, e.whole = version, true
+			e.loads = append(e.loads, version)
+			for n := range pieces {
+				if sha256.Sum256(e.staged[n]) != sha256.Sum256(weights(version, n)) {
+					e.whole = false
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// origin serves pieces; spoilt ones as often as it is told to.
+type origin struct {
+	mu     sync.Mutex
+	spoilt int
+	sent   int
+}
+
+func (o *origin) pieces(netip.AddrPort) *connector.Pieces {
+	return &connector.Pieces{
+		Manifest: func(_ context.Context, _ string, version int64) ([][32]byte, error) {
+			var d [][32]byte
+			for n := range pieces {
+				d = append(d, sha256.Sum256(weights(version, n)))
+			}
+			return d, nil
+		},
+		Piece: func(_ context.Context, _ string, version int64, n int) ([]byte, error) {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			o.sent++
+			b := weights(version, n)
+			if o.spoilt > 0 {
+				o.spoilt--
+				b[5]++
+			}
+			return b, nil
+		},
+	}
+}
+
+// bench is a loader beside an engine, with an origin and no peers.
+type bench struct {
+	engine *engine
+	origin *origin
+	state  *observer.State
+	loader *loader.Loader
+	offset uint64
+	mu     sync.Mutex
+	closed bool
+}
+
+func newBench() *bench {
+	b := &bench{engine: &engine{started: time.Unix(1, 0), staged: make(map[int][]byte)}, origin: &origin{}}
+	b.state = &observer.State{
+		Decode: func(key string, v []byte) (*observer.Decision, error) {
+			if key == "version" {
+				return &observer.Decision{Target: &observer.Target{Model: "m", Version: int64(v[0] - '0')}}, nil
+			}
+			return &observer.Decision{Configuration: &resolver.Configuration{Revision: 1, Services: []resolver.Service{
+				{Name: "s", Engine: &resolver.Engine{Model: "m", Slots: 1, Chunks: pieces, ChunkSize: pieceSize}},
+				{Name: "o", Origin: originAddress, Domain: "a"},
+			}}}, nil
+		},
+		DecodeEndpoint: func(key string, _ []byte) (*observer.Endpoint, error) {
+			return &observer.Endpoint{ID: key, Service: "s", Address: engineAddress, Domain: "a"}, nil
+		},
+		Now: time.Now, Log: zerolog.Nop(),
+	}
+	b.put("config", "x")
+	b.state.ApplyEndpoints([]connector.Item{{Key: "e1", Value: []byte("x"), Offset: 1}})
+	replica := b.engine.replica()
+	store := &distributor.Store{}
+	self := distributor.Member{Instance: "127.0.0.2", FailureDomain: "a", Region: "r"}
+	b.loader = &loader.Loader{
+		Service: "s", Address: engineAddress, Within: 400 * time.Millisecond, State: b.state, Replica: replica,
+		Reporter: &loader.Reporter{Replica: replica, Address: engineAddress, Send: b.take, Log: zerolog.Nop()},
+		Digests: func(context.Context, string, int64) ([][32]byte, error) {
+			return nil, errors.New("no peers")
+		},
+		Pieces: b.origin.pieces, Store: store, Log: zerolog.Nop(),
+		NewFetcher: func(o *connector.Origin, _ string) *distributor.Fetcher {
+			return &distributor.Fetcher{
+				Self: self, OriginRegion: "r", Store: store, Origin: o, Client: distributor.NewClient(nil),
+				Members: func() []distributor.Member { return []distributor.Member{self} }, MaxBackoff: 10 * time.Millisecond,
+			}
+		},
+	}
+	return b
+}
+
+func (b *bench) take(r dispatcher.Report) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = b.closed || r.Closed
+}
+
+func (b *bench) put(key, v string) {
+	b.offset++
+	b.state.ApplyOperator([]connector.Item{{Key: key, Value: []byte(v), Offset: b.offset}}, false)
+}
+
+// run runs the loader until the engine serves the version.
+func (b *bench) run(t *testing.T, version int64) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	var g sync.WaitGroup
+	defer g.Wait()
+	defer cancel()
+	g.Go(func() { _ = b.loader.Reporter.Run(ctx) })
+	g.Go(func() { _ = b.loader.Run(ctx) })
+	for ctx.Err() == nil {
+		b.engine.mu.Lock()
+		loaded := b.engine.loaded
+		b.engine.mu.Unlock()
+		if loaded == version {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("version %d was not loaded in time", version)
+}
+
+func (b *bench) checkWhole(t *testing.T) {
+	t.Helper()
+	b.engine.mu.Lock()
+	defer b.engine.mu.Unlock()
+	if !b.engine.whole {
+		t.Error("the engine was ordered to load pieces that are not those of the version")
+	}
+}
+
+// An empty engine is filled with the first version where none was named.
+func TestEmptyEngine(t *testing.T) {
+	b := newBench()
+	b.run(t, 1)
+	b.checkWhole(t)
+}
+
+// A spoilt piece of the origin must not reach the engine.
+func TestSpoiltOrigin(t *testing.T) {
+	b := newBench()
+	b.origin.spoilt = 3
+	b.put("version", "2")
+	b.run(t, 2)
+	b.checkWhole(t)
+}
+
+// Pieces that rot while they are staged must not be loaded.
+func TestRotWhileStaged(t *testing.T) {
+	b := newBench()
+	rot := 0
+	b.engine.beforeRead = func(staged map[int][]byte) {
+		// All pieces were staged and read back once; this is the read before the order.
+		if b.engine.reads > 2*pieces && rot < 2 && len(staged) == pieces {
+			rot++
+			staged[rot][9]++
+		}
+	}
+	b.run(t, 1)
+	b.checkWhole(t)
+	if rot == 0 {
+		t.Error("no piece rotted")
+	}
+}
+
+// An engine that restarts under its name holds nothing, and is filled again from
+// what is still staged, not from the origin.
+func TestRestartedEngine(t *testing.T) {
+	b := newBench()
+	b.run(t, 1)
+	sent := b.origin.sent
+	b.engine.mu.Lock()
+	b.engine.started, b.engine.loaded, b.engine.orders = time.Unix(2, 0), 0, 0
+	b.engine.mu.Unlock()
+	b.run(t, 1)
+	b.checkWhole(t)
+	if b.origin.sent != sent {
+		t.Errorf("the origin sent %d pieces again", b.origin.sent-sent)
+	}
+}
+
+// The gateways must learn that an engine is about to load before it is ordered to.
+func TestClosedBeforeLoad(t *testing.T) {
+	b := newBench()
+	b.run(t, 1)
+	b.closed = false
+	b.put("version", "2")
+	b.run(t, 2)
+	if !b.closed {
+		t.Error("no report told that the engine was about to load")
+	}
+	if !slices.Equal(b.engine.loads, []int64{1, 2}) {
+		t.Errorf("loads %v", b.engine.loads)
+	}
+}
