loader: let an older version yield by its deadline

Change: a version yields if the newer one can be served before the older one is due, or if it is nearly due itself; all instances decide alike.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -46,7 +46,7 @@
 	fullRetry = 800 * time.Millisecond
 	// absentRetry is the time to come back where no endpoint may be used; weights
 	// take a few seconds to arrive.
-	absentRetry = 1500 * time.Millisecond
+	absentRetry = 2 * time.Second
 )
 
 // Cold bounds the requests to a cold endpoint in one second, over all gateways,
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -32,15 +32,22 @@
 	// closeNotice is the time in which the gateways learn that the engine is
 	// about to load, before the order is given.
 	closeNotice = 60 * time.Millisecond
+	// drainTime is the time in which most streams of an engine end before it loads.
+	drainTime = 1500 * time.Millisecond
 	// loadMargin bounds the time of a load beyond that of the engine; streams
 	// that run end first.
 	loadMargin = 6 * time.Second
 )
 
 const (
-	// keepShare is the part of a version from which on it is fetched to its end
-	// although a newer one was named.
-	keepShare = 0.5
+	// spreadFactor is the time of a spread relative to that of one copy on the
+	// instance's link, and spreadShare the part of the time to the deadline that a
+	// spread takes where the link isn't known.
+	spreadFactor = 1.4
+	spreadShare  = 0.45
+	// lateShare is the part of the time to the deadline after which a version that
+	// isn't whole makes room for a newer one.
+	lateShare = 0.9
 	// readBacks is the number of times that staged pieces are mended before an
 	// order is given up.
 	readBacks = 3
@@ -53,6 +60,9 @@
 	Service string
 	// Address of the engine, as in the list.
 	Address netip.AddrPort
+	// Link is the rate of the instance's link in bytes per second; 0 where it isn't
+	// known.
+	Link float64
 	// Within is the time in which a named version has to be served everywhere.
 	Within   time.Duration
 	State    *observer.State
@@ -158,7 +168,7 @@
 		return nil
 	}
 	began := time.Now()
-	if done, err := l.fetch(ctx, e.Model, n, m); !done {
+	if done, err := l.fetch(ctx, e, n, m); !done {
 		return err
 	}
 	l.Log.Info().Int64("version", n.Version).Dur("fetch-ms", time.Since(began)).
@@ -326,29 +336,19 @@
 }
 
 // fetch fills the store. It reports false where a newer version goes first.
-func (l *Loader) fetch(ctx context.Context, model string, n observer.Named, m *manifest) (bool, error) {
+func (l *Loader) fetch(ctx context.Context, e *resolver.Engine, n observer.Named, m *manifest) (bool, error) {
 	work, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var share float64
-	var mu sync.Mutex
-	progress := func(verified, total int) {
-		mu.Lock()
-		defer mu.Unlock()
-		share = float64(verified) / float64(max(total, 1))
-	}
 	go func() {
 		for work.Err() == nil {
-			mu.Lock()
-			s := share
-			mu.Unlock()
-			if s < keepShare && l.target(model).Version > n.Version {
-				l.Log.Info().Int64("version", n.Version).Float64("share", s).Msg("version-superseded")
+			if newer := l.target(e.Model); newer.Version > n.Version && l.yields(e, n, time.Now()) {
+				l.Log.Info().Int64("version", n.Version).Int64("newer", newer.Version).Msg("version-superseded")
 				cancel()
 			}
 			sleep(work, idlePace)
 		}
 	}()
-	if _, err := l.fetcher.Fetch(work, m.version, progress); err != nil {
+	if _, err := l.fetcher.Fetch(work, m.version, nil); err != nil {
 		if work.Err() != nil {
 			return false, nil
 		}
@@ -357,6 +357,26 @@
 	return true, nil
 }
 
+// yields reports whether a version that is not whole makes room for a newer one:
+// if the newer one can be served before the older one is due, or if the older one
+// can't any more. All instances come to the same answer, since a spread that half
+// of them leave serves nobody.
+func (l *Loader) yields(e *resolver.Engine, n observer.Named, now time.Time) bool {
+	if n.Learned.IsZero() {
+		return true
+	}
+	due := n.Learned.Add(l.Within)
+	return now.Add(l.spreadTime(e)+e.Warm+drainTime).Before(due) || now.After(n.Learned.Add(time.Duration(float64(l.Within)*lateShare)))
+}
+
+// spreadTime estimates the time in which all instances have a version.
+func (l *Loader) spreadTime(e *resolver.Engine) time.Duration {
+	if l.Link <= 0 {
+		return time.Duration(float64(l.Within) * spreadShare)
+	}
+	return time.Duration(float64(int64(e.Chunks)*e.ChunkSize) / l.Link * spreadFactor * float64(time.Second))
+}
+
 // stage stores the pieces at the engine and reads them back.
 func (l *Loader) stage(ctx context.Context, model string, m *manifest) error {
 	for range readBacks {
--- a/loader/turn_test.go
+++ b/loader/turn_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
+	"github.com/eelgrassdrift/eelgrassdrift/resolver"
 )
 
 // Engines of one failure domain must not all load at the same time, and all have
@@ -50,3 +51,23 @@
 		t.Errorf("second turn at %s", at)
 	}
 }
+
+// A newer version that can be served before the older one is due replaces it at
+// once; one that is named later must not take the older one's place, because no
+// engine would serve any version that is allowed.
+func TestYields(t *testing.T) {
+	l := &Loader{Within: 8 * time.Second, Link: 900 << 10}
+	e := &resolver.Engine{Chunks: 96, ChunkSize: 24 << 10, Warm: 300 * time.Millisecond}
+	learned := time.Unix(1000, 0)
+	for _, c := range []struct {
+		after time.Duration
+		want  bool
+	}{{time.Second, true}, {2 * time.Second, true}, {4 * time.Second, false}, {7 * time.Second, false}, {7300 * time.Millisecond, true}} {
+		if got := l.yields(e, observer.Named{Version: 2, Learned: learned}, learned.Add(c.after)); got != c.want {
+			t.Errorf("after %s: %t", c.after, got)
+		}
+	}
+	if !l.yields(e, observer.Named{Version: 2}, learned) {
+		t.Error("a version that was named at an unknown time is kept")
+	}
+}
