direct: free the place of a chunk that goes to a peer that is gone

Tried: a bound of 1 s in place of 10 s on a chunk to a peer that doesn't take it, as replicas leave at that time. Kept, since a place is no longer lost for 10 s.

--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -31,6 +31,8 @@
 	chunkStall    = 700 * time.Millisecond
 	chunkPatience = 2 * time.Second
 	chunkBackoff  = 300 * time.Millisecond
+	// sendTimeout frees the place of a chunk that goes to a peer that is gone.
+	sendTimeout = time.Second
 	// digestTimeout bounds the question for digests at one peer.
 	digestTimeout = 300 * time.Millisecond
 	// digestWait bounds the wait for a peer that asks the origin, and digestPause
@@ -167,7 +169,7 @@
 
 func (a *Agent) handler() http.Handler {
 	m := http.NewServeMux()
-	m.Handle("/", &distributor.Handler{Store: a.chunks, Self: a.self(), SendRate: a.Link / bitsPerByte * linkShare, SendParallel: sentChunks, Log: a.Log})
+	m.Handle("/", &distributor.Handler{Store: a.chunks, Self: a.self(), SendRate: a.Link / bitsPerByte * linkShare, SendParallel: sentChunks, WriteTimeout: sendTimeout, Log: a.Log})
 	m.HandleFunc("GET /v1/digests/{version}", a.serveDigests)
 	return m
 }
