dispatcher: take the best of a few endpoints drawn at random

Ruled out: the bound of prompts ahead, which can't fall below one per gateway. Change: the best of two near endpoints and a far one. Besides, fewer calls to the store: an empty table is read every 500 ms, the list at 0.35 of the drain time, the gateways with a wait of 8 s.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -24,6 +24,10 @@
 	// are not near: a hop between regions is worth less than two of 16 slots.
 	otherDomain = 0.05
 	otherRegion = 0.1
+	// nearDraws and farDraws are the numbers of endpoints of the own region and of
+	// the others of which the best is taken; at most 2.
+	nearDraws = 2
+	farDraws  = 1
 	// readShare is the part of a request's aim that engines may spend on reading
 	// the prompts before it, summed over all gateways.
 	readShare = 0.6
@@ -72,6 +76,8 @@
 	mu       sync.Mutex
 	pools    map[string]*pool
 	gateways int
+	// near and far are scratch space of pickAmong.
+	near, far []*node
 	// listed is set after the first list, whose endpoints didn't just start.
 	listed bool
 }
@@ -462,7 +468,7 @@
 	return d.isAllowed(p, n, r, now) && !n.closed(now) && !now.Before(n.avoidUntil)
 }
 
-// pick returns the endpoint with the lowest relative load that has room, or nil.
+// pick returns an endpoint with a low relative load that has room, or nil.
 // Endpoints that failed lately are taken only where no other may be used.
 func (d *Dispatcher) pick(p *pool, r Request, now time.Time) *node {
 	n, others := d.pickAmong(p, r, now, false)
@@ -473,37 +479,71 @@
 }
 
 // pickAmong picks among the endpoints that failed lately or among the others, and
-// reports whether there are any that may be used, with room or without.
+// reports whether there are any that may be used, with room or without. It takes
+// the best of a few drawn at random: gateways that all took the best of all would
+// meet at the same endpoint, as none sees yet what the others just sent.
 func (d *Dispatcher) pickAmong(p *pool, r Request, now time.Time, suspect bool) (*node, bool) {
-	var best *node
-	var low float64
+	near, far := d.near[:0], d.far[:0]
 	found := false
 	for _, n := range p.nodes {
 		if now.Before(n.suspectUntil) != suspect || !d.isUsable(p, n, r, now) {
 			continue
 		}
 		found = true
-		if n.coldFull(now, p.coldShare) {
-			continue
-		}
-		load, limit := n.load(now, d.gateways), n.limit()
-		if load >= limit {
-			continue
-		}
-		if n.reading > 0 && n.reading+p.readTime(r) > d.readBound(r) {
-			continue
-		}
-		s := float64(load)/float64(limit) + d.distance(n) + faultCost*n.faults
-		if aim := r.Match.Route.Aim; aim > 0 {
-			s += readCost * float64(n.reading) / float64(aim)
+		switch {
+		case !d.hasRoom(p, n, r, now):
+		case n.Region == d.Region:
+			near = append(near, n)
+		default:
+			far = append(far, n)
 		}
-		if best == nil || s < low || s == low && rand.IntN(2) == 0 {
-			best, low = n, s
+	}
+	d.near, d.far = near, far
+	var best *node
+	var low float64
+	try := func(l []*node, draws int) {
+		for _, i := range sample(len(l), draws) {
+			if s := d.score(l[i], r, now); best == nil || s < low {
+				best, low = l[i], s
+			}
 		}
 	}
+	try(near, nearDraws)
+	try(far, farDraws)
 	return best, found
 }
 
+// sample returns up to two different random numbers below n.
+func sample(n, draws int) []int {
+	if n <= draws {
+		return firstTwo[:n]
+	}
+	i := rand.IntN(n)
+	if draws == 1 {
+		return []int{i}
+	}
+	return []int{i, (i + 1 + rand.IntN(n-1)) % n}
+}
+
+var firstTwo = []int{0, 1}
+
+// hasRoom reports whether the endpoint may get the request now.
+func (d *Dispatcher) hasRoom(p *pool, n *node, r Request, now time.Time) bool {
+	if n.load(now, d.gateways) >= n.limit() || n.coldFull(now, p.coldShare) {
+		return false
+	}
+	return n.reading == 0 || n.reading+p.readTime(r) <= d.readBound(r)
+}
+
+// score is the relative load of an endpoint and what else speaks against it.
+func (d *Dispatcher) score(n *node, r Request, now time.Time) float64 {
+	s := float64(n.load(now, d.gateways))/float64(n.limit()) + d.distance(n) + faultCost*n.faults
+	if aim := r.Match.Route.Aim; aim > 0 {
+		s += readCost * float64(n.reading) / float64(aim)
+	}
+	return s
+}
+
 // readTime is the time that an engine takes to read the prompt.
 func (p *pool) readTime(r Request) time.Duration {
 	if p.readRate <= 0 {
--- a/dispatcher/doc.go
+++ b/dispatcher/doc.go
@@ -3,8 +3,9 @@
 //
 // A Dispatcher holds one pool for each service. A pool knows the endpoints of the
 // list, what this gateway has in flight there, and what the endpoints' instances
-// report of the load of all gateways. Acquire returns a Lease on the endpoint with
-// the lowest load relative to its slots, with a small preference for near ones.
+// report of the load of all gateways. Acquire returns a Lease on the best of a few
+// endpoints drawn at random, by the load relative to the slots, the prompts that
+// are not read yet, and the distance.
 // A request that finds all slots taken waits in the pool's queue, by rank and then
 // in the order of arrival, as long as the queue drains fast enough to serve it in
 // time; otherwise it is refused at once with the time at which to come back. One
--- a/internal/direct/command.go
+++ b/internal/direct/command.go
@@ -37,6 +37,7 @@
 		settings.Float("retry-ratio", 0.1, "retries of all gateways for each request"),
 		settings.Float("retry-extra", 24, "retries of all gateways in a window beyond the ratio"),
 		settings.Period("balancer-wait", 2600*time.Millisecond, "time from not ready to the last new connection in a planned stop"),
+		settings.Int64("drain-ms", 2000, "milliseconds after which a leaving endpoint must get no more requests"),
 		settings.Int64("stop-seconds", 8, "longest time of a planned stop in seconds"),
 	)
 	read := func(c *cli.Command) (*Gateway, io.Closer, error) {
@@ -52,6 +53,7 @@
 			},
 			RetryRatio:   s.Float("retry-ratio", c.Float("retry-ratio"), 0, 1),
 			RetryExtra:   s.Float("retry-extra", c.Float("retry-extra"), 0, 1e6),
+			Drain:        time.Duration(s.Int("drain-ms", c.Int64("drain-ms"), 100, 1<<31)) * time.Millisecond,
 			BalancerWait: s.Duration("balancer-wait", c.Duration("balancer-wait"), 0, time.Minute),
 			StopTimeout:  time.Duration(s.Int("stop-seconds", c.Int64("stop-seconds"), 1, 3600)) * time.Second,
 		}
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -28,11 +28,14 @@
 	decisionWait = 2 * time.Second
 	// decisionPace is the pause between two reads of decisions.
 	decisionPace = 20 * time.Millisecond
-	// gatewayPace keeps reads of a table that is still empty apart.
+	// gatewayWait is how long a read of the gateways waits for a change. They
+	// change seldom, and a late read costs only a few reports.
+	gatewayWait = 8 * time.Second
 	gatewayPace = time.Second
-	// listPace is the pause between two reads of the list at a gateway. A
-	// draining endpoint must get no request two seconds after its entry changed.
-	listPace = 450 * time.Millisecond
+	// listShare is the part of the time in which a leaving endpoint must get no more
+	// requests that lies between two reads of the list at a gateway. The rest is
+	// for a slow answer and a second read after a failed one.
+	listShare = 0.35
 	// memberPace is the pause at an agent, which needs the list for its peers only.
 	memberPace = time.Second
 )
@@ -45,7 +48,9 @@
 	// self is the own address towards peers, which isn't asked.
 	self   netip.AddrPort
 	domain string
-	state  *observer.State
+	// drain is the time after which a leaving endpoint must get no more requests.
+	drain time.Duration
+	state *observer.State
 	// changed is called after each change of the state; it may be nil.
 	changed func()
 	log     zerolog.Logger
@@ -92,7 +97,7 @@
 
 // run follows all tables until the context ends.
 func (f *follower) run(ctx context.Context, agent bool) error {
-	pace, listWait := listPace, time.Duration(0)
+	pace, listWait := time.Duration(float64(f.drain)*listShare), time.Duration(0)
 	if agent {
 		pace = memberPace
 	}
@@ -122,7 +127,7 @@
 	g.Go(func() error {
 		return (&observer.Follower{
 			Name: gatewayTable, Table: &f.gateways, Sources: f.sources(gatewayTable, f.tables.Gateways, agent),
-			Wait: decisionWait, Pace: gatewayPace, Log: f.log,
+			Wait: gatewayWait, Pace: gatewayPace, Log: f.log,
 			Changed: func(fresh []connector.Item, _ bool) { f.state.ApplyGateways(fresh) },
 		}).Run(ctx)
 	})
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -69,6 +69,8 @@
 	RetryRatio, RetryExtra float64
 	// Within is the time in which a named version has to be served everywhere.
 	Within time.Duration
+	// Drain is the time after which a leaving endpoint must get no more requests.
+	Drain time.Duration
 	// BalancerWait is the time from not ready to the last new connection, and
 	// StopTimeout the longest time of a planned stop.
 	BalancerWait, StopTimeout time.Duration
@@ -117,6 +119,7 @@
 
 func (g *Gateway) build() {
 	g.follower = newFollower(g.Platform, g.Store, g.Peers, g.Domain, g.Regions, g.Log)
+	g.follower.drain = g.Drain
 	g.dispatcher = &dispatcher.Dispatcher{
 		Domain: g.Domain, Region: g.Region, Cold: g.Cold, State: g.follower.state,
 		Grace: time.Duration(float64(g.Within) * graceShare),
--- a/observer/follower.go
+++ b/observer/follower.go
@@ -19,6 +19,9 @@
 	peerWait = 300 * time.Millisecond
 	// firstPause is how long the first source is left alone after a failure.
 	firstPause = 500 * time.Millisecond
+	// emptyPause is the pause after an answer that the table is empty, as it is
+	// before the platform's first record; such a read doesn't wait.
+	emptyPause = 500 * time.Millisecond
 	// failurePause is the pause after a round in which no source answered.
 	failurePause = 150 * time.Millisecond
 )
@@ -58,8 +61,11 @@
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		pause := f.Pace
-		if !f.round(ctx) {
+		switch ok := f.round(ctx); {
+		case !ok:
 			pause = failurePause
+		case f.Table.Next() == 0:
+			pause = max(pause, emptyPause)
 		}
 		sleep(ctx, pause)
 	}
