dispatcher: silent endpoints are the last resort, direct: seeds

Ruled out: the list, which the peers behind the cut keep; the retry budget. Change: an endpoint whose instance has stopped to report for 900 ms is taken only where there is no other. The settings' seeds are peers as well.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -486,7 +486,7 @@
 	near, far := d.near[:0], d.far[:0]
 	found := false
 	for _, n := range p.nodes {
-		if now.Before(n.suspectUntil) != suspect || !d.isUsable(p, n, r, now) {
+		if n.isSuspect(now) != suspect || !d.isUsable(p, n, r, now) {
 			continue
 		}
 		found = true
@@ -643,7 +643,7 @@
 			s.InFlight += n.inFlight
 			s.Draining += count(n.Draining)
 			s.Cold += count(now.Before(n.coldUntil))
-			s.Avoided += count(now.Before(n.avoidUntil) || now.Before(n.suspectUntil))
+			s.Avoided += count(now.Before(n.avoidUntil) || n.isSuspect(now))
 			s.Loaded += count(p.model == "" || n.version(p.model, now) >= max(1, p.named.Version))
 		}
 		l = append(l, s)
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -12,6 +12,9 @@
 	// reportAge is how long a report of an endpoint's load is used; reports come
 	// five times a second.
 	reportAge = 1200 * time.Millisecond
+	// silentAfter is the time without a report after which an endpoint whose
+	// instance has reported before is taken for lost or cut off; four reports.
+	silentAfter = 900 * time.Millisecond
 	// minSuspect and maxSuspect bound the time for which an endpoint that failed is
 	// the last resort. It doubles with each failure in a row.
 	minSuspect = 300 * time.Millisecond
@@ -107,6 +110,12 @@
 	return n.Versions[model]
 }
 
+// isSuspect reports whether the endpoint failed lately, or its instance went silent.
+// A cut link shows there before a request is lost on it.
+func (n *node) isSuspect(now time.Time) bool {
+	return now.Before(n.suspectUntil) || !n.reportedAt.IsZero() && now.Sub(n.reportedAt) > silentAfter
+}
+
 // closed reports whether the endpoint is about to load.
 func (n *node) closed(now time.Time) bool {
 	return n.report.Closed && now.Sub(n.reportedAt) <= reportAge
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -67,8 +67,10 @@
 	// Peers is the own address towards other agents, Metrics may be the zero value.
 	Peers, Metrics netip.AddrPort
 	// Engine is the engine of this instance, as in the list.
-	Engine  netip.AddrPort
-	Store   netip.AddrPort
+	Engine netip.AddrPort
+	Store  netip.AddrPort
+	// Seeds are addresses of gateways towards peers; they may be gone.
+	Seeds   []netip.AddrPort
 	Regions map[string]string
 	// Link and RegionLink are the bits per second of the instance's link and of the
 	// link between two regions; 0 means no bound.
@@ -115,6 +117,7 @@
 
 func (a *Agent) build() error {
 	a.follower = newFollower(a.Platform, a.Store, a.Peers, a.Domain, a.Regions, a.Log)
+	a.follower.seeds = a.Seeds
 	a.client = a.follower.client
 	a.chunks = &distributor.Store{}
 	s, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(a.Peers.Addr(), 0)))
--- a/internal/direct/command.go
+++ b/internal/direct/command.go
@@ -44,7 +44,7 @@
 		var s settings.Faults
 		n := readCommon(&s, c)
 		g := &Gateway{
-			Name: n.name, Domain: n.domain, Region: n.regions[n.domain], Peers: n.peers, Metrics: n.metrics, Store: n.store,
+			Name: n.name, Domain: n.domain, Region: n.regions[n.domain], Peers: n.peers, Metrics: n.metrics, Store: n.store, Seeds: n.seeds,
 			Regions: n.regions, Within: n.within, Log: n.log, Platform: p,
 			Front: s.AddrPort("front", c.String("front")), Ready: s.AddrPort("ready", c.String("ready")),
 			Cold: dispatcher.Cold{
@@ -94,7 +94,7 @@
 		const mega = 1e6
 		a := &Agent{
 			Name: n.name, Domain: n.domain, Region: n.regions[n.domain], Service: c.String("service"), Peers: n.peers,
-			Metrics: n.metrics, Store: n.store, Regions: n.regions, Within: n.within, Log: n.log, Platform: p,
+			Metrics: n.metrics, Store: n.store, Seeds: n.seeds, Regions: n.regions, Within: n.within, Log: n.log, Platform: p,
 			Engine:     s.AddrPort("engine", c.String("engine")),
 			Link:       s.Float("link-mbps", c.Float("link-mbps"), 0, 1e6) * mega,
 			RegionLink: s.Float("region-mbps", c.Float("region-mbps"), 0, 1e6) * mega,
@@ -153,6 +153,7 @@
 		settings.String("failure-domain", "", "failure domain of this instance"),
 		settings.Strings("regions", "region of each failure domain, as DOMAIN=REGION"),
 		settings.String("peers", "", "IP address and port towards other processes of the system"),
+		settings.Strings("seeds", "IP addresses and ports of gateways towards peers"),
 		settings.String("metrics", "", "IP address and port of the metrics; empty for none"),
 		settings.String("store", "", "IP address and port of the platform's store"),
 		settings.Int64("version-ms", 8000, "milliseconds in which a named version has to be served everywhere"),
@@ -165,6 +166,7 @@
 	name, domain          string
 	regions               map[string]string
 	peers, metrics, store netip.AddrPort
+	seeds                 []netip.AddrPort
 	within                time.Duration
 	log                   zerolog.Logger
 	closer                io.Closer
@@ -175,6 +177,7 @@
 		name: c.String("name"), domain: c.String("failure-domain"), regions: readRegions(s, c.StringSlice("regions")),
 		peers: s.AddrPort("peers", c.String("peers")), metrics: s.OptionalAddrPort("metrics", c.String("metrics")),
 		store:  s.AddrPort("store", c.String("store")),
+		seeds:  s.AddrPorts("seeds", c.StringSlice("seeds")),
 		within: time.Duration(s.Int("version-ms", c.Int64("version-ms"), 1, 1<<31)) * time.Millisecond,
 	}
 	if n.name == "" {
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -48,6 +49,8 @@
 	// self is the own address towards peers, which isn't asked.
 	self   netip.AddrPort
 	domain string
+	// seeds are gateways that the settings name; they may be gone.
+	seeds []netip.AddrPort
 	// drain is the time after which a leaving endpoint must get no more requests.
 	drain time.Duration
 	state *observer.State
@@ -74,7 +77,8 @@
 	}}
 }
 
-// peers returns the addresses of the other gateways, near ones first.
+// peers returns the addresses of the other gateways, near ones first. The seeds
+// help a process that starts while it doesn't reach the platform.
 func (f *follower) peers() []netip.AddrPort {
 	var l []netip.AddrPort
 	for _, g := range f.state.Gateways(f.domain) {
@@ -82,6 +86,11 @@
 			l = append(l, g.Address)
 		}
 	}
+	for _, a := range f.seeds {
+		if a != f.self && !slices.Contains(l, a) {
+			l = append(l, a)
+		}
+	}
 	return l
 }
 
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -63,8 +63,10 @@
 	// Metrics those who look; Metrics may be the zero value.
 	Front, Ready, Peers, Metrics netip.AddrPort
 	Store                        netip.AddrPort
-	Regions                      map[string]string
-	Cold                         dispatcher.Cold
+	// Seeds are addresses of gateways towards peers; they may be gone.
+	Seeds   []netip.AddrPort
+	Regions map[string]string
+	Cold    dispatcher.Cold
 	// RetryRatio and RetryExtra bound the retries of all gateways.
 	RetryRatio, RetryExtra float64
 	// Within is the time in which a named version has to be served everywhere.
@@ -119,7 +121,7 @@
 
 func (g *Gateway) build() {
 	g.follower = newFollower(g.Platform, g.Store, g.Peers, g.Domain, g.Regions, g.Log)
-	g.follower.drain = g.Drain
+	g.follower.drain, g.follower.seeds = g.Drain, g.Seeds
 	g.dispatcher = &dispatcher.Dispatcher{
 		Domain: g.Domain, Region: g.Region, Cold: g.Cold, State: g.follower.state,
 		Grace: time.Duration(float64(g.Within) * graceShare),
