loader: cut streams that keep an engine from loading, and resume them elsewhere

Cause: an engine that is to load ends its streams first, 2.0 to 2.8 s under load, and reads no prompt meanwhile; half of the engines were closed at a time. Ruled out: the fetch (whole at 3.6 s of 8 s), the turns (evenly spread). Change: streams get 0.9 s to end; then, where every route of the service may be resumed or repeated, the order cuts those that are left, and the gateways resume them behind their last event. Resumed streams go first in the queue, and engines of the newer version are preferred. Gateways use 0.9 of the retry ratio.

--- a/connector/table.go
+++ b/connector/table.go
@@ -47,8 +47,9 @@
 	Stage func(ctx context.Context, model string, piece int, b []byte) error
 	// Start orders the engine to load the staged pieces as a version. The
 	// order is refused with kind Conflict where the engine has taken another
-	// order than the given number of orders.
-	Start func(ctx context.Context, model string, version, orders int64) error
+	// order than the given number of orders. With cut the requests that run are
+	// cut off; otherwise they end first.
+	Start func(ctx context.Context, model string, version, orders int64, cut bool) error
 }
 
 // ReplicaReport is what an engine reports of itself.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -34,6 +35,9 @@
 	// readCost is the relative load that prompts which take the whole aim to read
 	// stand for.
 	readCost = 2
+	// olderCost is added for an engine that is about to load a newer version, as
+	// its streams may be cut then.
+	olderCost = 0.2
 	// faultCost is the relative load that a share of failures of 1 stands for.
 	faultCost = 3
 	// patientEvery is the number of grants of which one goes to a request that is
@@ -111,6 +115,9 @@
 	Exclude []string
 	// Until is when the request is refused if it still waits.
 	Until time.Time
+	// Resumed requests go on with a stream that the caller reads already. They go
+	// before all others, as a pause of a stream is seen at once.
+	Resumed bool
 	// Patient requests were refused before and are late already. They get a part
 	// of the free slots while others wait, and all that the others leave.
 	Patient bool
@@ -119,6 +126,14 @@
 	Prompt int
 }
 
+// rank is the place of the request in the queue; the lowest is first.
+func (r Request) rank() int {
+	if r.Resumed {
+		return math.MinInt
+	}
+	return r.Match.Rank()
+}
+
 // Lease is a request at an endpoint until Done.
 type Lease struct {
 	Endpoint observer.Endpoint
@@ -296,7 +311,7 @@
 		d.mu.Unlock()
 		return nil, err
 	}
-	w := &waiter{request: r, rank: r.Match.Rank(), since: now, granted: make(chan *Lease, 1)}
+	w := &waiter{request: r, rank: r.rank(), since: now, granted: make(chan *Lease, 1)}
 	p.enqueue(w)
 	d.mu.Unlock()
 	return d.await(ctx, p, w)
@@ -362,7 +377,7 @@
 func (p *pool) ahead(r Request) float64 {
 	n := 1.0
 	for _, w := range *p.queue(r) {
-		if w.rank <= r.Match.Rank() {
+		if w.rank <= r.rank() {
 			n++
 		}
 	}
@@ -503,7 +518,7 @@
 	var low float64
 	try := func(l []*node, draws int) {
 		for _, i := range sample(len(l), draws) {
-			if s := d.score(l[i], r, now); best == nil || s < low {
+			if s := d.score(p, l[i], r, now); best == nil || s < low {
 				best, low = l[i], s
 			}
 		}
@@ -532,12 +547,15 @@
 	if n.load(now, d.gateways) >= n.limit() || n.coldFull(now, p.coldShare) {
 		return false
 	}
-	return n.reading == 0 || n.reading+p.readTime(r) <= d.readBound(r)
+	return r.Resumed || n.reading == 0 || n.reading+p.readTime(r) <= d.readBound(r)
 }
 
 // score is the relative load of an endpoint and what else speaks against it.
-func (d *Dispatcher) score(n *node, r Request, now time.Time) float64 {
+func (d *Dispatcher) score(p *pool, n *node, r Request, now time.Time) float64 {
 	s := float64(n.load(now, d.gateways))/float64(n.limit()) + d.distance(n) + faultCost*n.faults
+	if p.model != "" && n.version(p.model, now) < p.named.Version {
+		s += olderCost
+	}
 	if aim := r.Match.Route.Aim; aim > 0 {
 		s += readCost * float64(n.reading) / float64(aim)
 	}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -148,6 +148,8 @@
 			r.Prompt, _ = strconv.Atoi(v)
 		case "not":
 			r.Exclude = []string{v}
+		case "resumed":
+			r.Resumed = true
 		}
 	}
 	count := make(map[string]int)
--- a/forwarder/front.go
+++ b/forwarder/front.go
@@ -40,6 +40,9 @@
 	// and maxPatience bounds it.
 	patientShare = 0.45
 	maxPatience  = 2500 * time.Millisecond
+	// resumeWait is how long a stream that broke waits for another endpoint. Callers
+	// leave a stream that pauses for two seconds.
+	resumeWait = 1500 * time.Millisecond
 	// startRetry is when to come back to a gateway that knows no configuration.
 	startRetry = time.Second
 )
@@ -208,6 +211,9 @@
 
 // queueUntil is when the call is refused if it still waits for a slot.
 func (c *call) queueUntil() time.Time {
+	if c.started {
+		return earlier(time.Now().Add(resumeWait), c.deadline)
+	}
 	if c.patient {
 		return c.start.Add(min(maxPatience, time.Duration(float64(c.deadline.Sub(c.start))*patientShare)))
 	}
@@ -231,7 +237,7 @@
 	var last verdict
 	for {
 		l, err := c.front.Dispatcher.Acquire(c.ctx, dispatcher.Request{
-			Service: c.service, Match: c.match, Exclude: c.tried, Until: c.queueUntil(), Prompt: c.prompt, Patient: c.patient,
+			Service: c.service, Match: c.match, Exclude: c.tried, Until: c.queueUntil(), Prompt: c.prompt, Patient: c.patient, Resumed: c.started,
 		})
 		if err != nil {
 			c.unplaced(err, last)
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -44,7 +44,7 @@
 const (
 	// retryShare is the part of the retry ratio that gateways use; the rest covers
 	// windows that begin with saved retries.
-	retryShare = 0.75
+	retryShare = 0.9
 	// retryGateways is the number of gateways among which the extra retries are
 	// divided; more than there are, so that restarted ones keep within them.
 	retryGateways = 8
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -34,6 +34,8 @@
 	closeNotice = 60 * time.Millisecond
 	// drainTime is the time in which most streams of an engine end before it loads.
 	drainTime = 1500 * time.Millisecond
+	// streamsTime is the time that streams get to their end before a load cuts them.
+	streamsTime = 900 * time.Millisecond
 	// loadMargin bounds the time of a load beyond that of the engine; streams
 	// that run end first.
 	loadMargin = 6 * time.Second
@@ -430,13 +432,14 @@
 	if err := l.stage(ctx, e.Model, m); err != nil {
 		return err
 	}
+	cut := l.State.Table().MayCut(l.Service) && l.awaitStreams(ctx)
 	state, known := l.Reporter.State()
 	if !known {
 		return fail("order", classifier.Unavailable, errors.New("the engine doesn't answer"))
 	}
 	began := time.Now()
-	err := l.Replica.Start(ctx, e.Model, version, state.Orders)
-	l.Log.Info().Int64("version", version).Int64("orders", state.Orders).AnErr("refusal", err).Msg("load-ordered")
+	err := l.Replica.Start(ctx, e.Model, version, state.Orders, cut)
+	l.Log.Info().Int64("version", version).Int64("orders", state.Orders).Bool("cut", cut).AnErr("refusal", err).Msg("load-ordered")
 	if err != nil && classifier.Of(err) != classifier.OutcomeUnknown {
 		return err
 	}
@@ -457,6 +460,20 @@
 	return fail("load", classifier.Timeout, errors.Newf("version %d is not loaded after %s", version, time.Since(began)))
 }
 
+// awaitStreams waits for the end of the requests that run, and reports whether some
+// still do after a while. Streams that are cut go on at another engine, which takes
+// less from the callers than an engine that reads no prompt for seconds.
+func (l *Loader) awaitStreams(ctx context.Context) bool {
+	for until := time.Now().Add(streamsTime); time.Now().Before(until); {
+		l.Reporter.Read(ctx)
+		if s, ok := l.Reporter.State(); !ok || s.Active+s.Queued == 0 {
+			return false
+		}
+		sleep(ctx, idlePace/2)
+	}
+	return true
+}
+
 // drop frees the versions before the one that is served.
 func (l *Loader) drop(version int64) {
 	l.mu.Lock()
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -51,6 +51,9 @@
 	beforeRead func(staged map[int][]byte)
 	reads      int
 	loads      []int64
+	// active is the number of streams that run, cut tells that the last load cut them.
+	active int
+	cut    bool
 }
 
 func (e *engine) replica() *connector.Replica {
@@ -58,7 +61,7 @@
 		Report: func(context.Context) (connector.ReplicaReport, error) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			r := connector.ReplicaReport{Started: e.started, Orders: e.orders}
+			r := connector.ReplicaReport{Started: e.started, Orders: e.orders, Active: e.active}
 			if e.loaded > 0 {
 				r.Versions = map[string]int64{"m": e.loaded}
 			}
@@ -91,7 +94,7 @@
 			e.staged[n] = slices.Clone(b)
 			return nil
 		},
-		Start: func(_ context.Context, _ string, version, orders int64) error {
+		Start: func(_ context.Context, _ string, version, orders int64, cut bool) error {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			if orders != e.orders {
@@ -100,6 +103,7 @@
 			e.orders++
 			e.loaded, e.whole = version, true
 			e.loads = append(e.loads, version)
+			e.cut = cut
 			for n := range pieces {
 				if sha256.Sum256(e.staged[n]) != sha256.Sum256(weights(version, n)) {
 					e.whole = false
@@ -151,6 +155,9 @@
 	closed bool
 }
 
+// repeats are the routes of the configurations that a test puts.
+var repeats = map[string]resolver.Repeat{"x": resolver.Resume, "once": resolver.Once}
+
 func newBench() *bench {
 	b := &bench{engine: &engine{started: time.Unix(1, 0), staged: make(map[int][]byte)}, origin: &origin{}}
 	b.state = &observer.State{
@@ -161,7 +168,7 @@
 			return &observer.Decision{Configuration: &resolver.Configuration{Revision: 1, Services: []resolver.Service{
 				{Name: "s", Engine: &resolver.Engine{Model: "m", Slots: 1, Chunks: pieces, ChunkSize: pieceSize}},
 				{Name: "o", Origin: originAddress, Domain: "a"},
-			}}}, nil
+			}, Routes: []resolver.Route{{Repeat: repeats[string(v)], Targets: []resolver.Target{{Service: "s", Weight: 1}}}}}}, nil
 		},
 		DecodeEndpoint: func(key string, _ []byte) (*observer.Endpoint, error) {
 			return &observer.Endpoint{ID: key, Service: "s", Address: engineAddress, Domain: "a"}, nil
@@ -296,3 +303,32 @@
 		t.Errorf("loads %v", b.engine.loads)
 	}
 }
+
+// Streams that can be resumed elsewhere are cut where they keep an engine from
+// loading for long; those that can't are never cut.
+func TestCutStreams(t *testing.T) {
+	for configuration, want := range map[string]bool{"x": true, "once": false} {
+		b := newBench()
+		b.put("config", configuration)
+		b.run(t, 1)
+		b.engine.mu.Lock()
+		b.engine.active = 3
+		b.engine.mu.Unlock()
+		b.put("version", "2")
+		b.run(t, 2)
+		if b.engine.cut != want {
+			t.Errorf("configuration %s: cut %t", configuration, b.engine.cut)
+		}
+	}
+}
+
+// An engine without streams is not cut.
+func TestIdleEngineIsNotCut(t *testing.T) {
+	b := newBench()
+	b.run(t, 1)
+	b.put("version", "2")
+	b.run(t, 2)
+	if b.engine.cut {
+		t.Error("cut")
+	}
+}
--- a/resolver/table.go
+++ b/resolver/table.go
@@ -93,6 +93,18 @@
 	return nil
 }
 
+// MayCut reports whether all requests to a service may run again or be resumed, so
+// that one that is cut off at an endpoint goes on at another.
+func (t *Table) MayCut(service string) bool {
+	for i := range t.Configuration.Routes {
+		r := &t.Configuration.Routes[i]
+		if r.Repeat == Once && slices.ContainsFunc(r.Targets, func(g Target) bool { return g.Service == service }) {
+			return false
+		}
+	}
+	return true
+}
+
 // Rank returns the priority of the request; 0 is the highest.
 func (m Match) Rank() int {
 	if m.Account != nil && m.Account.Rank != nil {
