--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -29,7 +29,7 @@
 	chunkWait     = 1500 * time.Millisecond
 	chunkPoll     = 300 * time.Millisecond
 	chunkStall    = 700 * time.Millisecond
-	chunkPatience = 2 * time.Second
+	chunkPatience = 8 * time.Second
 	chunkBackoff  = 300 * time.Millisecond
 	// sendTimeout frees the place of a chunk that goes to a peer that is gone.
 	sendTimeout = time.Second
@@ -42,9 +42,11 @@
 )
 
 const (
-	// linkShare is the part of the instance's link that chunks may take, so that
-	// the events of streams on the same link stay in time.
-	linkShare = 0.85
+	// linkShare is the part of the instance's link that chunks may take, and
+	// liveShare the part of it that an engine with full slots needs for the events
+	// of its streams.
+	linkShare = 0.98
+	liveShare = 0.14
 	// regionShare is the part of the link between regions for chunks.
 	regionShare = 0.8
 	// peerChunks and leadChunks bound the chunks in flight to this instance, and
@@ -172,11 +174,23 @@
 
 func (a *Agent) handler() http.Handler {
 	m := http.NewServeMux()
-	m.Handle("/", &distributor.Handler{Store: a.chunks, Self: a.self(), SendRate: a.Link / bitsPerByte * linkShare, SendParallel: sentChunks, WriteTimeout: sendTimeout, Log: a.Log})
+	m.Handle("/", &distributor.Handler{Store: a.chunks, Self: a.self(), SendRate: a.Link / bitsPerByte * linkShare, LiveLoad: a.liveLoad, SendParallel: sentChunks, WriteTimeout: sendTimeout, Log: a.Log})
 	m.HandleFunc("GET /v1/digests/{version}", a.serveDigests)
 	return m
 }
 
+// liveLoad is the part of the link that streams of the engine need at present.
+func (a *Agent) liveLoad() float64 {
+	s, ok := a.loader.Reporter.State()
+	if !ok || s.Active == 0 {
+		return 0
+	}
+	if e := a.loader.Engine(); e != nil {
+		return liveShare * min(1, float64(s.Active)/float64(e.Slots))
+	}
+	return liveShare
+}
+
 // serveDigests tells the digests of the pieces of a version.
 func (a *Agent) serveDigests(w http.ResponseWriter, q *http.Request) {
 	v, err := strconv.ParseInt(q.PathValue("version"), 10, 64)
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -139,6 +139,12 @@
 	return s.Engine, o
 }
 
+// Engine returns the description of the engine, or nil while none is known.
+func (l *Loader) Engine() *resolver.Engine {
+	e, _ := l.engine()
+	return e
+}
+
 // target returns the version to serve; the first one where none was named.
 func (l *Loader) target(model string) observer.Named {
 	n := l.State.Target(model, 0)
