explainer: tell the story of a request from logs

Gateways log each attempt that did not answer the call, with what is known of it and what follows, and the revision in force with each request; times have milliseconds.

--- /dev/null
+++ b/explainer/line.go
@@ -0,0 +1,87 @@
+package explainer
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Pair is one field of a line.
+type Pair struct {
+	Key   string `json:"key"`
+	Value string `json:"value"`
+}
+
+// Line is one line of a log.
+type Line struct {
+	// Time is when the process wrote it by its own clock.
+	Time     time.Time `json:"time"`
+	Instance string    `json:"instance"`
+	Event    string    `json:"event"`
+	// Fields are the others, in the order of the line.
+	Fields []Pair `json:"fields"`
+	// Background tells that the line doesn't carry the request's id.
+	Background bool `json:"background"`
+}
+
+// Field returns the value of a field, or "".
+func (l *Line) Field(key string) string {
+	for _, p := range l.Fields {
+		if p.Key == key {
+			return p.Value
+		}
+	}
+	return ""
+}
+
+// Parse reads a line. It returns false for text that is not a line of a log. Text
+// before the time, such as a prefix of the collector, is passed over.
+func Parse(s string) (Line, bool) {
+	i := strings.Index(s, "time=")
+	if i < 0 {
+		return Line{}, false
+	}
+	var l Line
+	for s = s[i:]; s != ""; {
+		k, v, rest, ok := cutPair(s)
+		if !ok {
+			return Line{}, false
+		}
+		s = rest
+		switch k {
+		case "time":
+			t, err := time.Parse(time.RFC3339Nano, v)
+			if err != nil {
+				return Line{}, false
+			}
+			l.Time = t
+		case "instance":
+			l.Instance = v
+		case "event":
+			l.Event = v
+		default:
+			l.Fields = append(l.Fields, Pair{k, v})
+		}
+	}
+	return l, l.Event != ""
+}
+
+// cutPair takes the first pair off a line; a value with spaces is quoted.
+func cutPair(s string) (key, value, rest string, ok bool) {
+	key, s, ok = strings.Cut(s, "=")
+	if !ok || key == "" || strings.ContainsAny(key, " \"") {
+		return "", "", "", false
+	}
+	if strings.HasPrefix(s, `"`) {
+		q, err := strconv.QuotedPrefix(s)
+		if err != nil {
+			return "", "", "", false
+		}
+		if value, err = strconv.Unquote(q); err != nil {
+			return "", "", "", false
+		}
+		return key, value, strings.TrimLeft(s[len(q):], " \n"), true
+	}
+	value, rest, _ = strings.Cut(s, " ")
+	return key, strings.TrimRight(value, "\n"), strings.TrimLeft(rest, " \n"), true
+}
--- /dev/null
+++ b/explainer/story.go
@@ -0,0 +1,115 @@
+package explainer
+
+import (
+	"bufio"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
+)
+
+// before is how long before a request its background begins; the time in which a
+// version is spread and a leaving endpoint drains.
+const before = 10 * time.Second
+
+// maxLine bounds one line in bytes.
+const maxLine = 1 << 20
+
+// Error is the error type of this package.
+type Error struct {
+	// Op is the operation that failed, for example "read log".
+	Op string
+	// Kind is NotFound where no line carries the request's id.
+	Kind classifier.Kind
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Class returns the kind of the failure.
+func (e *Error) Class() classifier.Kind { return e.Kind }
+
+// background are the events that tell what a process believed.
+var background = []string{
+	"configuration-applied", "configuration-older", "record-refused", "version-named", "failure-domain-evacuated", "record-dropped",
+	"source-lost", "source-regained", "endpoint-changed", "endpoint-gone", "endpoint-entry-refused", "start", "stop", "stopped",
+	"load-ordered", "version-loaded", "load-failed", "fetch-failed", "engine-lost", "engine-found", "log-lines-dropped",
+}
+
+// Story is what the logs tell of one request.
+type Story struct {
+	Request string `json:"request"`
+	Lines   []Line `json:"lines"`
+}
+
+// Tell reads logs and returns the story of a request. The error is of kind NotFound
+// where no line carries its id.
+func Tell(request string, logs ...io.Reader) (*Story, error) {
+	var all []Line
+	for _, r := range logs {
+		s := bufio.NewScanner(r)
+		s.Buffer(nil, maxLine)
+		for s.Scan() {
+			if l, ok := Parse(s.Text()); ok && (l.Field("request") == request || slices.Contains(background, l.Event)) {
+				all = append(all, l)
+			}
+		}
+		if err := s.Err(); err != nil {
+			return nil, &Error{Op: "read log", Kind: classifier.Invalid, Err: err}
+		}
+	}
+	return tell(request, all)
+}
+
+func tell(request string, all []Line) (*Story, error) {
+	s := &Story{Request: request}
+	var first, last time.Time
+	instances, endpoints := make(map[string]bool), make(map[string]bool)
+	for _, l := range all {
+		if l.Field("request") != request {
+			continue
+		}
+		s.Lines = append(s.Lines, l)
+		instances[l.Instance] = true
+		endpoints[l.Field("endpoint")] = true
+		if first.IsZero() || l.Time.Before(first) {
+			first = l.Time
+		}
+		if l.Time.After(last) {
+			last = l.Time
+		}
+	}
+	if len(s.Lines) == 0 {
+		return nil, &Error{Op: "explain " + request, Kind: classifier.NotFound, Err: errors.New("no line of the logs carries this id")}
+	}
+	delete(endpoints, "")
+	for _, l := range all {
+		if l.Field("request") == request || l.Time.Before(first.Add(-before)) || l.Time.After(last) {
+			continue
+		}
+		if isBackground(&l, instances, endpoints) {
+			l.Background = true
+			s.Lines = append(s.Lines, l)
+		}
+	}
+	slices.SortStableFunc(s.Lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return s, nil
+}
+
+// isBackground reports whether a line tells what a process of the request believed.
+// Changes of an endpoint count where the request reached it, or reached none.
+func isBackground(l *Line, instances, endpoints map[string]bool) bool {
+	if !instances[l.Instance] {
+		return false
+	}
+	e := l.Field("endpoint")
+	return e == "" || len(endpoints) == 0 || endpoints[e]
+}
--- a/forwarder/front.go
+++ b/forwarder/front.go
@@ -257,11 +257,13 @@
 			return
 		}
 		c.tried = append(c.tried, l.Endpoint.ID)
-		if !a.sent && dials < maxDials && c.ctx.Err() == nil {
-			continue
+		again := retrier.Decision{Retry: true, Reason: "no-connection"}
+		if a.sent || dials >= maxDials || c.ctx.Err() != nil {
+			again = c.decide(last, a.sent)
 		}
-		if d := c.decide(last, a.sent); !d.Retry {
-			c.give(last, d.Reason)
+		c.reportAttempt(last, again)
+		if !again.Retry {
+			c.give(last, again.Reason)
 			return
 		}
 	}
@@ -375,6 +377,16 @@
 	c.report(reason, status, err)
 }
 
+// reportAttempt logs an attempt that did not answer the call, and what follows.
+func (c *call) reportAttempt(v verdict, again retrier.Decision) {
+	l := c.front.Log.Info().Str("request", c.id).Str("endpoint", c.endpoint).Int("try", c.tries).
+		Str("known", v.outcome.String()).Bool("again", again.Retry).Str("reason", again.Reason)
+	if v.answer != nil {
+		l = l.Int("status", v.answer.status)
+	}
+	l.Err(v.err).Dur("left-ms", time.Until(c.deadline)).Msg("attempt")
+}
+
 // report logs the call in one line.
 func (c *call) report(outcome string, status int, err error) {
 	total := time.Since(c.start)
@@ -386,6 +398,9 @@
 	if c.match.Route != nil {
 		route = c.match.Route.Name
 	}
+	if t := c.front.Table(); t != nil {
+		l = l.Uint64("revision", t.Configuration.Revision)
+	}
 	l.Str("request", c.id).Str("route", route).Str("service", c.service).Str("outcome", outcome).Int("status", status).
 		Str("endpoint", c.endpoint).Int64("version", c.version).Int("load", c.load).Int("tries", c.tries).
 		Dur("waited-ms", c.waited).Dur("first-ms", c.first).Dur("total-ms", total).Msg("request")
--- a/internal/logger/bounded.go
+++ b/internal/logger/bounded.go
@@ -8,6 +8,9 @@
 	"github.com/rs/zerolog/diode"
 )
 
+// timeFormat is RFC 3339 with milliseconds.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Bounds of the volume of a log.
 const (
 	// queuedLines is the number of lines that wait to be written; further ones
@@ -24,6 +27,8 @@
 // NewBounded returns a logger whose lines are written by another goroutine and
 // whose volume is bounded. The closer writes what waits.
 func NewBounded(w io.Writer, level string) (zerolog.Logger, io.Closer, error) {
+	// Lines of several processes are put in order by their times.
+	zerolog.TimeFieldFormat = timeFormat
 	var l zerolog.Logger
 	d := diode.NewWriter(w, queuedLines, writePause, func(missed int) {
 		l.Error().Int("lines", missed).Msg("log-lines-dropped")
