forwarder: never refuse a call of which an attempt ran

The answer was chosen by the last attempt. Change: the answer follows the attempt that may have run. explain needs no server, and a caller that left is told from a deadline.

--- a/forwarder/front.go
+++ b/forwarder/front.go
@@ -246,22 +246,27 @@
 		c.note(l)
 		a := &attempt{call: c, lease: l}
 		c.lines = nil
-		last = a.run(c.ctx, c.front.Transport)
-		l.Done(last.lease)
+		v := a.run(c.ctx, c.front.Transport)
+		l.Done(v.lease)
+		if last.err == nil && last.answer == nil || v.outcome != retrier.NotRun {
+			// What may have run decides on the answer, also where a later
+			// attempt did not run.
+			last = v
+		}
 		if a.sent {
 			c.tries++
 		} else {
 			dials++
 		}
-		if c.settle(last) {
+		if c.settle(v) {
 			return
 		}
 		c.tried = append(c.tried, l.Endpoint.ID)
 		again := retrier.Decision{Retry: true, Reason: "no-connection"}
 		if a.sent || dials >= maxDials || c.ctx.Err() != nil {
-			again = c.decide(last, a.sent)
+			again = c.decide(v, a.sent)
 		}
-		c.reportAttempt(last, again)
+		c.reportAttempt(v, again)
 		if !again.Retry {
 			c.give(last, again.Reason)
 			return
@@ -305,9 +310,17 @@
 	return false
 }
 
+// endReason tells why the context of the call ended.
+func (c *call) endReason() string {
+	if errors.Is(c.ctx.Err(), context.Canceled) {
+		return "caller-left"
+	}
+	return "deadline"
+}
+
 func (c *call) decide(v verdict, sent bool) retrier.Decision {
 	if c.ctx.Err() != nil {
-		return retrier.Decision{Reason: "deadline"}
+		return retrier.Decision{Reason: c.endReason()}
 	}
 	if !sent {
 		return retrier.Decision{Reason: "no-connection"}
@@ -350,7 +363,7 @@
 	case v.answer != nil && v.answer.header == nil:
 		c.answerStatus(v.answer.status, "endpoint-refused", v.err)
 	case c.ctx.Err() != nil:
-		c.answerStatus(http.StatusGatewayTimeout, "deadline", c.ctx.Err())
+		c.answerStatus(http.StatusGatewayTimeout, c.endReason(), c.ctx.Err())
 	case v.outcome == retrier.NotRun:
 		c.refuse(reason, startRetry)
 	default:
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -12,6 +12,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/explainer"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/settings"
 )
 
 func (a *App) explainCommand() *cli.Command {
@@ -23,16 +24,17 @@
 			if !c.Args().Present() {
 				return cli.Exit(c.FullName()+" takes a request id and log files", 2)
 			}
-			o, err := a.options(c)
-			if err != nil {
+			var f settings.Faults
+			checkCommon(&f, c)
+			if err := f.Err(); err != nil {
 				return err
 			}
-			return a.explain(o, c.Args().First(), c.Args().Tail())
+			return a.explain(c.String("output"), c.Args().First(), c.Args().Tail())
 		},
 	}
 }
 
-func (a *App) explain(o options, request string, files []string) error {
+func (a *App) explain(form, request string, files []string) error {
 	var logs []io.Reader
 	for _, name := range files {
 		f, err := os.Open(name)
@@ -49,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	if o.output == jsonForm {
+	if form == jsonForm {
 		return writeJSON(a.Out, s)
 	}
 	w := tabwriter.NewWriter(a.Out, 0, 8, 2, ' ', 0)
