direct: few connections to the origin

Ruled out: the spread itself (56 engines whole 3 s after the start). Change: idle connections to the origin end after 150 ms, at most two for each agent; all but the first two instances of a failure domain wait for their peers' digests, of the others one in twenty questions goes to the origin.

--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/distributor"
@@ -35,10 +37,6 @@
 	sendTimeout = time.Second
 	// digestTimeout bounds the question for digests at one peer.
 	digestTimeout = 300 * time.Millisecond
-	// digestWait bounds the wait for a peer that asks the origin, and digestPause
-	// is the pause between two questions.
-	digestWait  = 400 * time.Millisecond
-	digestPause = 40 * time.Millisecond
 )
 
 const (
@@ -59,7 +57,10 @@
 	originReads = 2
 	// digestPeers is the number of peers that are asked for digests.
 	digestPeers = 2
-	bitsPerByte = 8
+	// originChance is the part of the questions after which an instance that isn't
+	// first asks the origin itself, because the first ones may be lost.
+	originChance = 0.05
+	bitsPerByte  = 8
 )
 
 // Agent brings the engine beside it to the named version. Its fields are set
@@ -85,6 +86,7 @@
 
 	follower *follower
 	client   *http.Client
+	origin   *http.Client
 	chunks   *distributor.Store
 	loader   *loader.Loader
 	socket   *net.UDPConn
@@ -121,6 +123,7 @@
 	a.follower = newFollower(a.Platform, a.Store, a.Peers, a.Domain, a.Regions, a.Log)
 	a.follower.seeds = a.Seeds
 	a.client = a.follower.client
+	a.origin = newOriginClient()
 	a.chunks = &distributor.Store{}
 	s, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(a.Peers.Addr(), 0)))
 	if err != nil {
@@ -132,7 +135,7 @@
 		Service: a.Service, Address: a.Engine, Link: a.Link / bitsPerByte, Within: a.Within, State: a.follower.state, Replica: replica,
 		Reporter: &loader.Reporter{Replica: replica, Address: a.Engine, Send: a.send, Log: a.Log},
 		Digests:  a.digests,
-		Pieces:   func(o netip.AddrPort) *connector.Pieces { return a.Platform.Pieces(o, a.client) },
+		Pieces:   func(o netip.AddrPort) *connector.Pieces { return a.Platform.Pieces(o, a.origin) },
 		NewFetcher: func(o *connector.Origin, domain string) *distributor.Fetcher {
 			return a.newFetcher(o, domain)
 		},
@@ -210,28 +213,32 @@
 	}
 }
 
-// digests asks the first instances of the own failure domain for the digests of a
-// version. The first of all asks the origin, so the others wait for it a while.
+// digests asks other instances for the digests of a version: the first ones of the
+// own failure domain, and one drawn at random in case these are lost. The first
+// ones ask the origin; of the others only a few do, since it takes a few dozen
+// connections in all. The error is of kind Refused for those that are to wait.
 func (a *Agent) digests(ctx context.Context, _ string, version int64) ([][32]byte, error) {
-	l := slices.DeleteFunc(a.members(), func(m distributor.Member) bool { return string(m.FailureDomain) != a.Domain })
-	slices.SortFunc(l, func(x, y distributor.Member) int { return x.Address.Compare(y.Address) })
-	l = l[:min(len(l), digestPeers)]
-	for until := time.Now().Add(digestWait); time.Now().Before(until); {
-		for _, m := range l {
-			if m.Address == a.Peers {
-				return nil, errors.New("this instance asks the origin")
-			}
-			if d, err := a.askDigests(ctx, m.Address, version); err == nil {
-				return d, nil
-			}
+	all := a.members()
+	near := slices.DeleteFunc(slices.Clone(all), func(m distributor.Member) bool { return string(m.FailureDomain) != a.Domain })
+	slices.SortFunc(near, func(x, y distributor.Member) int { return x.Address.Compare(y.Address) })
+	near = near[:min(len(near), digestPeers)]
+	isFirst := slices.ContainsFunc(near, func(m distributor.Member) bool { return m.Address == a.Peers })
+	if len(all) > 0 {
+		near = append(near, all[rand.IntN(len(all))])
+	}
+	for _, m := range near {
+		if m.Address == a.Peers {
+			continue
 		}
-		select {
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-time.After(digestPause):
+		if d, err := a.askDigests(ctx, m.Address, version); err == nil {
+			return d, nil
 		}
 	}
-	return nil, errors.Newf("none of %d peers knows version %d", len(l), version)
+	k := classifier.Refused
+	if isFirst || rand.Float64() < originChance {
+		k = classifier.NotFound
+	}
+	return nil, &loader.Error{Op: "ask for digests", Kind: k, Err: errors.Newf("none of %d peers knows version %d", len(near), version)}
 }
 
 func (a *Agent) askDigests(ctx context.Context, peer netip.AddrPort, version int64) ([][32]byte, error) {
--- a/internal/direct/platform.go
+++ b/internal/direct/platform.go
@@ -49,6 +49,19 @@
 	idlePeers  = 4
 )
 
+// originIdle is how long a connection to the origin is kept without a read. The
+// origin takes a few dozen connections for all agents, so one that has what it
+// needs must not hold any.
+const originIdle = 150 * time.Millisecond
+
+// newOriginClient returns a client that gives its connections back soon.
+func newOriginClient() *http.Client {
+	c := newClient()
+	t := c.Transport.(*http.Transport)
+	t.IdleConnTimeout, t.MaxIdleConnsPerHost, t.MaxConnsPerHost = originIdle, originReads, originReads
+	return c
+}
+
 // newClient returns a client whose connections are probed, so that one that went
 // silent is found. Each call has a deadline of its own.
 func newClient() *http.Client {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -70,7 +70,8 @@
 	State    *observer.State
 	Reporter *Reporter
 	Replica  *connector.Replica
-	// Digests asks other instances for the digests of a version.
+	// Digests asks other instances for the digests of a version. An error of kind
+	// Refused tells to ask them again soon, any other to ask the origin.
 	Digests func(ctx context.Context, model string, version int64) ([][32]byte, error)
 	// Pieces returns a client of an origin.
 	Pieces func(netip.AddrPort) *connector.Pieces
@@ -164,7 +165,7 @@
 		return nil
 	}
 	m, err := l.learn(ctx, e, n.Version)
-	if err != nil {
+	if err != nil || m == nil {
 		return err
 	}
 	if err := l.restore(ctx, e.Model, m); err != nil {
@@ -240,7 +241,8 @@
 
 func fail(op string, k classifier.Kind, err error) error { return &Error{Op: op, Kind: k, Err: err} }
 
-// learn returns the manifest of a version, from other instances or the origin.
+// learn returns the manifest of a version, from other instances or the origin; nil
+// where the others are about to know it.
 func (l *Loader) learn(ctx context.Context, e *resolver.Engine, version int64) (*manifest, error) {
 	l.mu.Lock()
 	m := l.manifests[version]
@@ -249,6 +251,9 @@
 		return m, nil
 	}
 	d, err := l.Digests(ctx, e.Model, version)
+	if classifier.Of(err) == classifier.Refused {
+		return nil, nil
+	}
 	if err != nil {
 		l.Log.Debug().Err(err).Int64("version", version).Msg("digests-not-at-peers")
 		if d, err = l.Pieces(l.origin).Manifest(ctx, e.Model, version); err != nil {
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -119,11 +119,16 @@
 	mu     sync.Mutex
 	spoilt int
 	sent   int
+	// noManifest makes it refuse to tell the digests.
+	noManifest bool
 }
 
 func (o *origin) pieces(netip.AddrPort) *connector.Pieces {
 	return &connector.Pieces{
 		Manifest: func(_ context.Context, _ string, version int64) ([][32]byte, error) {
+			if o.noManifest {
+				return nil, errors.New("too many connections")
+			}
 			var d [][32]byte
 			for n := range pieces {
 				d = append(d, sha256.Sum256(weights(version, n)))
@@ -332,3 +337,23 @@
 		t.Error("cut")
 	}
 }
+
+// The origin takes a few dozen connections. An instance whose peers are about to
+// know a version must not ask the origin for its digests.
+func TestWaitsForPeers(t *testing.T) {
+	b := newBench()
+	asked := 0
+	b.loader.Digests = func(context.Context, string, int64) ([][32]byte, error) {
+		if asked++; asked <= 3 {
+			return nil, &loader.Error{Op: "ask", Kind: classifier.Refused, Err: errors.New("soon")}
+		}
+		var d [][32]byte
+		for n := range pieces {
+			d = append(d, sha256.Sum256(weights(1, n)))
+		}
+		return d, nil
+	}
+	b.origin.noManifest = true
+	b.run(t, 1)
+	b.checkWhole(t)
+}
