--- a/forwarder/front_test.go
+++ b/forwarder/front_test.go
@@ -56,6 +56,8 @@
 	// seen holds what each request brought.
 	seen []string
 	ran  int
+	// held gets the connection of a request whose step is "hold".
+	held func(net.Conn)
 }
 
 func newBackend(t *testing.T) *backend {
@@ -137,6 +139,9 @@
 		out = head("503 Busy", id, "Content-Length: 3\r\n\r\nbad")
 	case "drop":
 		return false
+	case "hold":
+		b.held(c)
+		return false
 	case "short":
 		out, keep = head("200 OK", id, "Content-Length: 9\r\n\r\nhello"), false
 	case "unsigned":
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -31,7 +31,7 @@
 	chunkWait     = 1500 * time.Millisecond
 	chunkPoll     = 300 * time.Millisecond
 	chunkStall    = 700 * time.Millisecond
-	chunkPatience = 8 * time.Second
+	chunkPatience = 1500 * time.Millisecond
 	chunkBackoff  = 300 * time.Millisecond
 	// sendTimeout frees the place of a chunk that goes to a peer that is gone.
 	sendTimeout = time.Second
