--- a/tools/check.sh
+++ b/tools/check.sh
@@ -27,11 +27,12 @@
 importers() {
   go list -f '{{$p := .ImportPath}}{{range .XTestImports}}{{if eq . "'"$1"'"}}{{$p}}{{"\n"}}{{end}}{{end}}{{range .TestImports}}{{if eq . "'"$1"'"}}{{$p}}{{"\n"}}{{end}}{{end}}' ./... | sort -u | grep .
 }
-heavy='/(e2e|distributor|policysim)$'
+heavy='/(e2e|distributor|policysim|platform)$'
 rapid=$(importers pgregory.net/rapid | grep -vE "$heavy")
 plain=$(go list ./... | grep -vE "$heavy" | grep -vxF "$rapid")
 go test -race -timeout 20m $plain
 go test -race -timeout 20m $rapid -rapid.seed=1
+go test -race -timeout 20m ./platform
 go test -timeout 30m -p 1 ./distributor ./internal/policysim
 # The messages of failed specs are repeated at the end, where a cut record still shows them.
 report="$PWD/bin/e2e.xml"
