loader: read the digests of a version twice from the origin

Cause: found while reading: the origin may spoil its answers, and a wrong digest names a piece that nobody has, so the engine and all peers that learn from this instance would stay without the version.

--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -121,6 +121,8 @@
 	sent   int
 	// noManifest makes it refuse to tell the digests.
 	noManifest bool
+	// spoiltManifest is the number of times that a digest is told wrong.
+	spoiltManifest int
 }
 
 func (o *origin) pieces(netip.AddrPort) *connector.Pieces {
@@ -133,6 +135,10 @@
 			for n := range pieces {
 				d = append(d, sha256.Sum256(weights(version, n)))
 			}
+			if o.spoiltManifest > 0 {
+				o.spoiltManifest--
+				d[2][3]++
+			}
 			return d, nil
 		},
 		Piece: func(_ context.Context, _ string, version int64, n int) ([]byte, error) {
@@ -357,3 +363,12 @@
 	b.run(t, 1)
 	b.checkWhole(t)
 }
+
+// A manifest that the origin spoilt on its way names a piece that nobody has: the
+// engine would stay empty, and so would the peers that learn from this instance.
+func TestSpoiltManifest(t *testing.T) {
+	b := newBench()
+	b.origin.spoiltManifest = 1
+	b.run(t, 1)
+	b.checkWhole(t)
+}
--- a/loader/spread.go
+++ b/loader/spread.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"slices"
 	"strconv"
 	"time"
 
@@ -94,7 +95,7 @@
 	}
 	if err != nil {
 		l.Log.Debug().Err(err).Int64("version", version).Msg("digests-not-at-peers")
-		if d, err = l.Pieces(l.origin).Manifest(ctx, e.Model, version); err != nil {
+		if d, err = l.originDigests(ctx, e.Model, version); err != nil {
 			return nil, fail("learn version "+strconv.FormatInt(version, 10), classifier.Of(err), err)
 		}
 	}
@@ -104,6 +105,24 @@
 	return l.keep(e, version, d)
 }
 
+// originDigests reads the digests of a version twice. Nothing else tells whether
+// the origin sent them right, and a wrong one names a piece that nobody has.
+func (l *Loader) originDigests(ctx context.Context, model string, version int64) ([][32]byte, error) {
+	p := l.Pieces(l.origin)
+	first, err := p.Manifest(ctx, model, version)
+	if err != nil {
+		return nil, err
+	}
+	second, err := p.Manifest(ctx, model, version)
+	if err != nil {
+		return nil, err
+	}
+	if !slices.Equal(first, second) {
+		return nil, fail("read digests", classifier.Unavailable, errors.New("two answers of the origin differ"))
+	}
+	return first, nil
+}
+
 // keep makes the manifest of a version from the digests of its pieces. The digest
 // of the whole is that of the digests, as the origin names none.
 func (l *Loader) keep(e *resolver.Engine, version int64, digests [][32]byte) (*manifest, error) {
