dispatcher, forwarder, direct: one piece of code where it stood twice

From a last read of the whole change; behaviour stays as it is. - internal/sleeper has the wait with a context that stood in relayer, measure, ctl and, new in this change, observer, loader and the gateway's announcement. - Dispatcher.Update computed the share and the versions of a pool once for each endpoint of the list, 20 times a second, and sorted all gateways to count them; now once for each pool, and a count. It uses one configuration throughout. - A call held copies of its lease and the reader of an attempt's body; the lease and the attempt have them. - The two commands of direct dispatch are built in one place; a flag of the state that followed from the list, a copy of a client and two wrappers are gone.

--- a/cmd/eelgrassctl/main.go
+++ b/cmd/eelgrassctl/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/internal/ctl"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/settings"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 )
 
 func main() {
@@ -20,7 +21,7 @@
 	app := ctl.App{
 		In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Version: settings.Version,
 		IsTerminal: term.IsTerminal(int(os.Stdout.Fd())),
-		NewID:      uuid.New, Rand: rand.Reader, Sleep: ctl.Sleep,
+		NewID:      uuid.New, Rand: rand.Reader, Sleep: sleeper.Sleep,
 	}
 	code := app.Run(ctx, os.Args)
 	stop()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -95,40 +95,42 @@
 		return
 	}
 	evacuated := d.State.Evacuated()
-	gateways := len(d.State.Gateways(""))
+	gateways := d.State.GatewayCount()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.gateways = max(gateways, 1)
-	d.updatePools(t, list)
+	d.addPools(t, list)
 	for _, p := range d.pools {
-		d.updateNodes(p, list, evacuated)
+		s := t.Service(p.service)
+		if s != nil {
+			d.updatePool(p, s)
+		}
+		d.updateNodes(p, s, list, evacuated)
 		d.grant(p)
 	}
 	d.listed = true
 }
 
-func (d *Dispatcher) updatePools(t *resolver.Table, list map[string]*observer.Endpoint) {
+// addPools makes the pools of services that have endpoints for the first time.
+func (d *Dispatcher) addPools(t *resolver.Table, list map[string]*observer.Endpoint) {
 	if d.pools == nil {
 		d.pools = make(map[string]*pool)
 	}
 	for _, e := range list {
-		s := t.Service(e.Service)
-		if s == nil {
-			continue
-		}
-		p := d.pools[e.Service]
-		if p == nil {
-			p = &pool{service: e.Service, nodes: make(map[string]*node)}
-			d.pools[e.Service] = p
-		}
-		p.coldShare = d.coldShare(s.ColdRate)
-		if s.Engine != nil {
-			p.model, p.readRate = s.Engine.Model, s.Engine.ReadRate
-			p.named = d.State.Target(p.model, d.Grace)
+		if d.pools[e.Service] == nil && t.Service(e.Service) != nil {
+			d.pools[e.Service] = &pool{service: e.Service, nodes: make(map[string]*node)}
 		}
 	}
 }
 
+func (d *Dispatcher) updatePool(p *pool, s *resolver.Service) {
+	p.coldShare = d.coldShare(s.ColdRate)
+	if s.Engine != nil {
+		p.model, p.readRate = s.Engine.Model, s.Engine.ReadRate
+		p.named = d.State.Target(p.model, d.Grace)
+	}
+}
+
 // coldShare is the part of this gateway of what a cold endpoint bears. It is safe
 // without agreement, as it is divided among more gateways than there are.
 func (d *Dispatcher) coldShare(rate float64) int {
@@ -139,7 +141,9 @@
 	return max(1, int((rate*d.Cold.Factor+d.Cold.Slack)/float64(n)))
 }
 
-func (d *Dispatcher) updateNodes(p *pool, list map[string]*observer.Endpoint, evacuated map[string]bool) {
+// updateNodes takes the endpoints of a pool from the list; the service is nil where
+// the configuration no longer has it.
+func (d *Dispatcher) updateNodes(p *pool, s *resolver.Service, list map[string]*observer.Endpoint, evacuated map[string]bool) {
 	now := d.now()
 	for id := range p.nodes {
 		if e := list[id]; e == nil || e.Service != p.service {
@@ -153,8 +157,8 @@
 		n := p.nodes[id]
 		if n == nil || !n.Started.Equal(e.Started) || n.Address != e.Address {
 			n = &node{}
-			if t := d.State.Table().Service(p.service); t != nil && d.listed {
-				n.coldUntil = now.Add(t.ColdTime)
+			if s != nil && d.listed {
+				n.coldUntil = now.Add(s.ColdTime)
 			}
 			p.nodes[id] = n
 		}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -164,7 +164,6 @@
 	if r.StatusCode == http.StatusBadRequest {
 		v.answer = &answer{status: http.StatusBadRequest}
 	}
-	v.err = errors.WithStack(v.err)
 	return v, true
 }
 
@@ -193,6 +192,7 @@
 // is dropped, so that the stream can be resumed behind the one before.
 func (a *attempt) copyEvents() verdict {
 	var event bytes.Buffer
+	lines := bufio.NewReaderSize(a.response.Body, bufferSize)
 	id := ""
 	for {
 		if a.conn.r.Buffered() == 0 {
@@ -203,7 +203,7 @@
 				return broken("read event", err)
 			}
 		}
-		line, err := a.readLine(&event)
+		line, err := readLine(lines, &event)
 		switch {
 		case errors.Is(err, io.EOF) && event.Len() == 0:
 			return a.finish()
@@ -229,20 +229,12 @@
 // maxEvent bounds one event in bytes.
 const maxEvent = 1 << 20
 
-// lines returns a reader of the response's body.
-func (a *attempt) lines() *bufio.Reader {
-	if a.call.lines == nil {
-		a.call.lines = bufio.NewReaderSize(a.response.Body, bufferSize)
-	}
-	return a.call.lines
-}
-
 // readLine appends the next line to the event and returns it without its end. The
 // error is io.EOF at the end of the body.
-func (a *attempt) readLine(event *bytes.Buffer) ([]byte, error) {
+func readLine(lines *bufio.Reader, event *bytes.Buffer) ([]byte, error) {
 	start := event.Len()
 	for {
-		b, err := a.lines().ReadSlice('\n')
+		b, err := lines.ReadSlice('\n')
 		event.Write(b)
 		if event.Len() > maxEvent {
 			return nil, errors.Newf("an event of more than %d bytes", maxEvent)
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bufio"
 	"context"
 	"net/http"
 	"strconv"
@@ -42,9 +41,8 @@
 	service         string
 	start, deadline time.Time
 
+	// lease is that of the last attempt; its zero value before the first.
 	lease *dispatcher.Lease
-	// lines reads the body of the present stream.
-	lines *bufio.Reader
 	// started tells that bytes of a stream went to the caller.
 	started   bool
 	unflushed bool
@@ -52,9 +50,6 @@
 	lastEvent string
 	tries     int
 	waited    time.Duration
-	endpoint  string
-	version   int64
-	load      int
 	// tried holds the ids of the endpoints that got the request.
 	tried []string
 	first time.Duration
--- a/forwarder/front.go
+++ b/forwarder/front.go
@@ -102,7 +102,10 @@
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	start := time.Now()
-	c := &call{front: f, w: w, ctl: http.NewResponseController(w), start: start, id: q.Header.Get(f.Headers.RequestID)}
+	c := &call{
+		front: f, w: w, ctl: http.NewResponseController(w), start: start, id: q.Header.Get(f.Headers.RequestID),
+		lease: &dispatcher.Lease{},
+	}
 	t := f.Table()
 	if t == nil {
 		c.refuse("no-configuration", startRetry)
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -93,9 +93,9 @@
 			c.unplaced(err, last)
 			return
 		}
-		c.note(l)
+		c.lease = l
+		c.waited += l.Waited
 		a := &attempt{call: c, lease: l}
-		c.lines = nil
 		v := a.run(c.ctx, c.front.Transport)
 		l.Done(v.lease)
 		if last.err == nil && last.answer == nil || v.outcome != retrier.NotRun {
@@ -124,12 +124,6 @@
 	}
 }
 
-func (c *call) note(l *dispatcher.Lease) {
-	c.lease = l
-	c.endpoint, c.version, c.load = l.Endpoint.ID, l.Version, l.Load
-	c.waited += l.Waited
-}
-
 // settle ends the call where the attempt did, and reports whether it did.
 func (c *call) settle(v verdict) bool {
 	switch {
@@ -242,7 +236,7 @@
 
 // reportAttempt logs an attempt that did not answer the call, and what follows.
 func (c *call) reportAttempt(v verdict, again retrier.Decision) {
-	l := c.front.Log.Info().Str("request", c.id).Str("endpoint", c.endpoint).Int("try", c.tries).
+	l := c.front.Log.Info().Str("request", c.id).Str("endpoint", c.lease.Endpoint.ID).Int("try", c.tries).
 		Str("known", v.outcome.String()).Bool("again", again.Retry).Str("reason", again.Reason)
 	if v.answer != nil {
 		l = l.Int("status", v.answer.status)
@@ -265,7 +259,7 @@
 		l = l.Uint64("revision", t.Configuration.Revision)
 	}
 	l.Str("request", c.id).Str("route", route).Str("service", c.service).Str("outcome", outcome).Int("status", status).
-		Str("endpoint", c.endpoint).Int64("version", c.version).Int("load", c.load).Int("tries", c.tries).
+		Str("endpoint", c.lease.Endpoint.ID).Int64("version", c.lease.Version).Int("load", c.lease.Load).Int("tries", c.tries).
 		Dur("waited-ms", c.waited).Dur("first-ms", c.first).Dur("total-ms", total).Msg("request")
 	if c.front.Observe != nil {
 		c.front.Observe(Result{
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -26,18 +26,6 @@
 	Sleep func(ctx context.Context, d time.Duration) error
 }
 
-// Sleep waits for d or until the context ends.
-func Sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
 // Run runs one command and returns the exit code.
 func (a *App) Run(ctx context.Context, args []string) int {
 	err := a.command().Run(ctx, args)
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -85,7 +85,6 @@
 	Log      zerolog.Logger
 
 	follower *follower
-	client   *http.Client
 	origin   *http.Client
 	chunks   *distributor.Store
 	loader   *loader.Loader
@@ -122,7 +121,6 @@
 func (a *Agent) build() error {
 	a.follower = newFollower(a.Platform, a.Store, a.Peers, a.Domain, a.Regions, a.Log)
 	a.follower.seeds = a.Seeds
-	a.client = a.follower.client
 	a.origin = newOriginClient()
 	a.chunks = &distributor.Store{}
 	s, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(a.Peers.Addr(), 0)))
@@ -130,16 +128,14 @@
 		return errors.Wrap(err, "open socket for reports")
 	}
 	a.socket = s
-	replica := a.Platform.Replica(a.Engine, a.client)
+	replica := a.Platform.Replica(a.Engine, a.follower.client)
 	a.loader = &loader.Loader{
 		Service: a.Service, Address: a.Engine, Link: a.Link / bitsPerByte, Within: a.Within, State: a.follower.state, Replica: replica,
-		Reporter: &loader.Reporter{Replica: replica, Address: a.Engine, Send: a.send, Log: a.Log},
-		Digests:  a.digests,
-		Pieces:   func(o netip.AddrPort) *connector.Pieces { return a.Platform.Pieces(o, a.origin) },
-		NewFetcher: func(o *connector.Origin, domain string) *distributor.Fetcher {
-			return a.newFetcher(o, domain)
-		},
-		Store: a.chunks, Log: a.Log,
+		Reporter:   &loader.Reporter{Replica: replica, Address: a.Engine, Send: a.send, Log: a.Log},
+		Digests:    a.digests,
+		Pieces:     func(o netip.AddrPort) *connector.Pieces { return a.Platform.Pieces(o, a.origin) },
+		NewFetcher: a.newFetcher,
+		Store:      a.chunks, Log: a.Log,
 	}
 	return nil
 }
@@ -248,7 +244,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "ask for digests")
 	}
-	r, err := a.client.Do(q)
+	r, err := a.follower.client.Do(q)
 	if err != nil {
 		return nil, errors.Wrap(err, "ask for digests")
 	}
--- a/internal/direct/command.go
+++ b/internal/direct/command.go
@@ -40,7 +40,7 @@
 		settings.Int64("drain-ms", 2000, "milliseconds after which a leaving endpoint must get no more requests"),
 		settings.Int64("stop-seconds", 8, "longest time of a planned stop in seconds"),
 	)
-	read := func(c *cli.Command) (*Gateway, io.Closer, error) {
+	return command("send requests straight to endpoints, on a platform without agents before them", f, gatewayGCPercent, func(c *cli.Command) (process, common, error) {
 		var s settings.Faults
 		n := readCommon(&s, c)
 		g := &Gateway{
@@ -58,26 +58,12 @@
 			StopTimeout:  time.Duration(s.Int("stop-seconds", c.Int64("stop-seconds"), 1, 3600)) * time.Second,
 		}
 		if err := s.Err(); err != nil {
-			return nil, n.closer, err
+			return nil, n, err
 		}
 		m, err := meter.New("eelgrass-gateway")
 		g.Meter = m
-		return g, n.closer, err
-	}
-	return &cli.Command{
-		Name: "direct", Usage: "send requests straight to endpoints, on a platform without agents before them", Flags: f,
-		Commands: []*cli.Command{settings.Check(f, func(c *cli.Command) error { _, _, err := read(c); return err })},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			g, closer, err := read(c)
-			if err != nil {
-				return err
-			}
-			defer closer.Close()
-			setGC(gatewayGCPercent)
-			go keepSettings(ctx, g.Log)
-			return g.Run(ctx)
-		},
-	}
+		return g, n, err
+	})
 }
 
 // AgentCommand returns the command of the agent.
@@ -88,7 +74,7 @@
 		settings.Float("link-mbps", 0, "megabits per second of the instance's link; 0 for no bound"),
 		settings.Float("region-mbps", 0, "megabits per second between two regions; 0 for no bound"),
 	)
-	read := func(c *cli.Command) (*Agent, io.Closer, error) {
+	return command("bring the engine of this instance to the named version", f, agentGCPercent, func(c *cli.Command) (process, common, error) {
 		var s settings.Faults
 		n := readCommon(&s, c)
 		const mega = 1e6
@@ -103,24 +89,33 @@
 			s.Add("service", "", "the name of a service")
 		}
 		if err := s.Err(); err != nil {
-			return nil, n.closer, err
+			return nil, n, err
 		}
 		m, err := meter.New("eelgrass-agent")
 		a.Meter = m
-		return a, n.closer, err
-	}
+		return a, n, err
+	})
+}
+
+// process is a gateway or an agent.
+type process interface {
+	Run(ctx context.Context) error
+}
+
+// command returns the command of a process, with one that checks its settings.
+func command(usage string, f []cli.Flag, gcPercent int, read func(*cli.Command) (process, common, error)) *cli.Command {
 	return &cli.Command{
-		Name: "direct", Usage: "bring the engine of this instance to the named version", Flags: f,
+		Name: "direct", Usage: usage, Flags: f,
 		Commands: []*cli.Command{settings.Check(f, func(c *cli.Command) error { _, _, err := read(c); return err })},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			a, closer, err := read(c)
+			p, n, err := read(c)
 			if err != nil {
 				return err
 			}
-			defer closer.Close()
-			setGC(agentGCPercent)
-			go keepSettings(ctx, a.Log)
-			return a.Run(ctx)
+			defer n.closer.Close()
+			setGC(gcPercent)
+			go keepSettings(ctx, n.log)
+			return p.Run(ctx)
 		},
 	}
 }
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -43,9 +43,8 @@
 
 // follower keeps the tables and the state of one process.
 type follower struct {
-	platform *Platform
-	tables   Tables
-	client   *http.Client
+	tables Tables
+	client *http.Client
 	// self is the own address towards peers, which isn't asked.
 	self   netip.AddrPort
 	domain string
@@ -64,7 +63,7 @@
 func newFollower(p *Platform, store, self netip.AddrPort, domain string, regions map[string]string, log zerolog.Logger) *follower {
 	c := newClient()
 	return &follower{
-		platform: p, tables: p.Tables(store, c), client: c, self: self, domain: domain, log: log,
+		tables: p.Tables(store, c), client: c, self: self, domain: domain, log: log,
 		state: &observer.State{
 			Decode: p.Operator, DecodeEndpoint: p.Endpoint(regions), DecodeGateway: p.Gateway, Now: time.Now, Log: log,
 		},
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/listener"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
 )
@@ -236,10 +237,7 @@
 		if err := g.write(ctx, b); err == nil {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(announcePause):
-		}
+		_ = sleeper.Sleep(ctx, announcePause)
 	}
 	return nil
 }
--- a/internal/measure/gateway.go
+++ b/internal/measure/gateway.go
@@ -16,6 +16,7 @@
 	relayv1 "github.com/eelgrassdrift/eelgrassdrift/api/relay/v1"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/follower"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/standin"
 	"github.com/eelgrassdrift/eelgrassdrift/relayer"
 )
@@ -245,7 +246,7 @@
 				return nil
 			}
 		}
-		if err := sleep(ctx, 50*time.Millisecond); err != nil {
+		if err := sleeper.Sleep(ctx, 50*time.Millisecond); err != nil {
 			return err
 		}
 	}
--- a/internal/measure/intents.go
+++ b/internal/measure/intents.go
@@ -19,6 +19,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/follower"
 	"github.com/eelgrassdrift/eelgrassdrift/guarder"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 )
 
@@ -101,7 +102,7 @@
 		}
 		done.Go(func() { writeIntents(ctx, g, float64(rate)/writers, &calls) })
 	}
-	if err := sleep(ctx, c.Duration("settle")); err != nil {
+	if err := sleeper.Sleep(ctx, c.Duration("settle")); err != nil {
 		return err
 	}
 	before, begun, s := calls.Load(), time.Now(), p.log.Stats()
@@ -127,7 +128,7 @@
 		if g.Ready() {
 			return g, nil
 		}
-		if err := sleep(ctx, 50*time.Millisecond); err != nil {
+		if err := sleeper.Sleep(ctx, 50*time.Millisecond); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/measure/logs.go
+++ b/internal/measure/logs.go
@@ -13,6 +13,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/follower"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/registrar"
 )
@@ -95,11 +96,11 @@
 		go func() { _ = f.Run(ctx) }()
 	}
 	go p.change(ctx, rate)
-	if err := sleep(ctx, c.Duration("settle")); err != nil {
+	if err := sleeper.Sleep(ctx, c.Duration("settle")); err != nil {
 		return err
 	}
 	a, sent, begun := p.log.Stats(), p.traffic.out.Load(), time.Now()
-	if err := sleep(ctx, c.Duration("span")); err != nil {
+	if err := sleeper.Sleep(ctx, c.Duration("span")); err != nil {
 		return err
 	}
 	b, d := p.log.Stats(), time.Since(begun).Seconds()
--- a/internal/measure/members.go
+++ b/internal/measure/members.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/standin/engine"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 )
@@ -55,13 +56,13 @@
 		return err
 	}
 	// The pauses keep the three changes apart, as they are in a replacement.
-	if err := sleep(ctx, 200*time.Millisecond); err != nil {
+	if err := sleeper.Sleep(ctx, 200*time.Millisecond); err != nil {
 		return err
 	}
 	if err := p.put(ctx, old, connector.InstanceLeaving); err != nil {
 		return err
 	}
-	if err := sleep(ctx, 200*time.Millisecond); err != nil {
+	if err := sleeper.Sleep(ctx, 200*time.Millisecond); err != nil {
 		return err
 	}
 	return p.registry.Remove(ctx, recorder.Name(memberName(old)))
@@ -102,7 +103,7 @@
 			return err
 		}
 	}
-	if err := sleep(ctx, c.Duration("settle")); err != nil {
+	if err := sleeper.Sleep(ctx, c.Duration("settle")); err != nil {
 		return err
 	}
 	n := c.Int("replacements")
@@ -115,7 +116,7 @@
 		if err := p.replace(ctx, i, members+i); err != nil {
 			return err
 		}
-		if err := sleep(ctx, 200*time.Millisecond); err != nil {
+		if err := sleeper.Sleep(ctx, 200*time.Millisecond); err != nil {
 			return err
 		}
 	}
--- a/internal/measure/operators.go
+++ b/internal/measure/operators.go
@@ -19,6 +19,7 @@
 	relayv1 "github.com/eelgrassdrift/eelgrassdrift/api/relay/v1"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/follower"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 )
 
@@ -220,7 +221,7 @@
 		if known = bytes.Count(b, []byte(servesModel)); err == nil && known == size {
 			return nil
 		}
-		if e := sleep(ctx, 100*time.Millisecond); e != nil {
+		if e := sleeper.Sleep(ctx, 100*time.Millisecond); e != nil {
 			return e
 		}
 	}
@@ -237,7 +238,7 @@
 	}
 	defer w.stop()
 	begun := time.Now()
-	if err := sleep(ctx, c.Duration("settle")); err != nil {
+	if err := sleeper.Sleep(ctx, c.Duration("settle")); err != nil {
 		return err
 	}
 	a, err := w.sample()
--- a/internal/measure/process.go
+++ b/internal/measure/process.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 )
 
 // process is a started binary.
@@ -138,14 +140,14 @@
 
 // measure waits for the settling time and samples the process over the span.
 func (p *process) measure(ctx context.Context, settle, span time.Duration) (usage, error) {
-	if err := sleep(ctx, settle); err != nil {
+	if err := sleeper.Sleep(ctx, settle); err != nil {
 		return usage{}, err
 	}
 	a, err := p.sample()
 	if err != nil {
 		return usage{}, err
 	}
-	if err := sleep(ctx, span); err != nil {
+	if err := sleeper.Sleep(ctx, span); err != nil {
 		return usage{}, err
 	}
 	b, err := p.sample()
@@ -155,14 +157,3 @@
 		received: float64(b.received-a.received) / d, sent: float64(b.sent-a.sent) / d, resident: b.resident, anonymous: b.anonymous,
 	}, err
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/measure/reports.go
+++ b/internal/measure/reports.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 )
 
 const reportBody = `{"model":"assistant","messages":[{"role":"user","content":"hello"}],"max_tokens":8,"stream":false}`
@@ -132,7 +134,7 @@
 	defer stop()
 	var answers, failed atomic.Int64
 	done.Go(func() { s.call(ctx, rate, &answers, &failed) })
-	if err := sleep(ctx, c.Duration("settle")); err != nil {
+	if err := sleeper.Sleep(ctx, c.Duration("settle")); err != nil {
 		return err
 	}
 	a, err := s.point()
@@ -140,7 +142,7 @@
 		return err
 	}
 	n, f := answers.Load(), failed.Load()
-	if err := sleep(ctx, c.Duration("span")); err != nil {
+	if err := sleeper.Sleep(ctx, c.Duration("span")); err != nil {
 		return err
 	}
 	b, err := s.point()
--- a/internal/measure/requests.go
+++ b/internal/measure/requests.go
@@ -15,6 +15,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
+
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 )
 
 func requestsCommand() *cli.Command {
@@ -185,7 +187,7 @@
 		if err = send(ctx, http.DefaultClient, url, body); err == nil {
 			return nil
 		}
-		if e := sleep(ctx, 100*time.Millisecond); e != nil {
+		if e := sleeper.Sleep(ctx, 100*time.Millisecond); e != nil {
 			return e
 		}
 	}
--- a/internal/measure/rollout.go
+++ b/internal/measure/rollout.go
@@ -19,6 +19,7 @@
 	relayv1 "github.com/eelgrassdrift/eelgrassdrift/api/relay/v1"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/follower"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/registrar"
 	"github.com/eelgrassdrift/eelgrassdrift/relayer"
@@ -118,7 +119,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			if s.Version != "" {
-				if err := sleep(ctx, f.load); err != nil {
+				if err := sleeper.Sleep(ctx, f.load); err != nil {
 					return s, err
 				}
 			}
@@ -139,7 +140,7 @@
 		case r.Phase != registrar.Running:
 			return errors.Newf("rollout %s is %s: %s", name, r.Phase, r.LastFailure)
 		}
-		if err := sleep(ctx, 20*time.Millisecond); err != nil {
+		if err := sleeper.Sleep(ctx, 20*time.Millisecond); err != nil {
 			return err
 		}
 	}
--- a/internal/measure/spread.go
+++ b/internal/measure/spread.go
@@ -16,6 +16,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/follower"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 )
 
 func spreadCommand() *cli.Command {
@@ -138,7 +139,7 @@
 		if _, ok := a.at(offset); ok {
 			return nil
 		}
-		if err := sleep(ctx, 10*time.Millisecond); err != nil {
+		if err := sleeper.Sleep(ctx, 10*time.Millisecond); err != nil {
 			return err
 		}
 	}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -16,6 +16,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/distributor"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
@@ -109,7 +110,7 @@
 			l.Log.Warn().Err(err).Msg(failure)
 			pause = failurePause
 		}
-		sleep(ctx, pause)
+		_ = sleeper.Sleep(ctx, pause)
 	}
 	return nil
 }
@@ -216,7 +217,7 @@
 		if s, ok := l.Reporter.State(); !ok || s.Versions[model] == 0 {
 			break
 		}
-		sleep(ctx, min(idlePace, time.Until(start)))
+		_ = sleeper.Sleep(ctx, min(idlePace, time.Until(start)))
 	}
 	return ctx.Err() == nil && l.complete.Load() == version
 }
@@ -225,7 +226,7 @@
 func (l *Loader) order(ctx context.Context, e *resolver.Engine, version int64, m *manifest) error {
 	l.Reporter.Close(ctx, true)
 	defer l.Reporter.Close(ctx, false)
-	sleep(ctx, closeNotice)
+	_ = sleeper.Sleep(ctx, closeNotice)
 	if err := l.stage(ctx, e.Model, m); err != nil {
 		return err
 	}
@@ -242,7 +243,7 @@
 	}
 	limit := began.Add(e.Warm + loadMargin)
 	for time.Now().Before(limit) && ctx.Err() == nil {
-		sleep(ctx, idlePace/2)
+		_ = sleeper.Sleep(ctx, idlePace/2)
 		l.Reporter.Read(ctx)
 		s, ok := l.Reporter.State()
 		switch {
@@ -266,7 +267,7 @@
 		if s, ok := l.Reporter.State(); !ok || s.Active+s.Queued == 0 {
 			return false
 		}
-		sleep(ctx, idlePace/2)
+		_ = sleeper.Sleep(ctx, idlePace/2)
 	}
 	return true
 }
--- a/loader/reporter.go
+++ b/loader/reporter.go
@@ -10,6 +10,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 )
 
 // Times of a Reporter.
@@ -40,7 +41,7 @@
 func (r *Reporter) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		r.Read(ctx)
-		sleep(ctx, reportPace)
+		_ = sleeper.Sleep(ctx, reportPace)
 	}
 	return nil
 }
@@ -83,12 +84,3 @@
 	r.mu.Unlock()
 	r.Read(ctx)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/loader/spread.go
+++ b/loader/spread.go
@@ -12,6 +12,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
@@ -215,7 +216,7 @@
 				l.Log.Info().Int64("version", n.Version).Int64("newer", newer.Version).Msg("version-superseded")
 				cancel()
 			}
-			sleep(work, idlePace)
+			_ = sleeper.Sleep(work, idlePace)
 		}
 	}()
 	if _, err := l.fetcher.Fetch(work, m.version, nil); err != nil {
--- a/observer/follower.go
+++ b/observer/follower.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 )
 
 // Times of a Follower.
@@ -67,7 +68,7 @@
 		case f.Table.Next() == 0:
 			pause = max(pause, emptyPause)
 		}
-		sleep(ctx, pause)
+		_ = sleeper.Sleep(ctx, pause)
 	}
 	return nil
 }
@@ -122,12 +123,3 @@
 		f.lost = false
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/observer/state.go
+++ b/observer/state.go
@@ -83,7 +83,6 @@
 	outage time.Time
 	// missing holds when an entry was found dropped shortly after an outage.
 	missing map[string]time.Time
-	listed  bool
 }
 
 // history is the sequence of the versions of a model, the newest last.
@@ -218,10 +217,9 @@
 	if s.missing == nil {
 		s.missing = make(map[string]time.Time)
 	}
-	if len(items) == 0 && len(s.missing) == 0 && s.listed {
+	if len(items) == 0 && len(s.missing) == 0 && s.Endpoints() != nil {
 		return
 	}
-	s.listed = true
 	m := make(map[string]*Endpoint)
 	for k, e := range s.Endpoints() {
 		m[k] = e
@@ -292,6 +290,13 @@
 	}
 }
 
+// GatewayCount returns the number of the known gateways.
+func (s *State) GatewayCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.gateways)
+}
+
 // Gateways returns the known gateways, those of the failure domain first.
 func (s *State) Gateways(domain string) []*Gateway {
 	s.mu.Lock()
--- a/relayer/client.go
+++ b/relayer/client.go
@@ -18,6 +18,7 @@
 	relayv1 "github.com/eelgrassdrift/eelgrassdrift/api/relay/v1"
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/follower"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/registrar"
 )
 
@@ -96,7 +97,7 @@
 			}
 			c.Log.Info().Stringer("gateway", a).Bool("fallback", fallback).AnErr("reason", err).Msg("gateway lost")
 		}
-		_ = sleep(ctx, retryInterval/2+rand.N(retryInterval))
+		_ = sleeper.Sleep(ctx, retryInterval/2+rand.N(retryInterval))
 	}
 	return ctx.Err()
 }
@@ -109,7 +110,7 @@
 		if err := c.awaitOwn(ctx, false); err != nil {
 			return err
 		}
-		if sleep(ctx, c.alone()) != nil || c.hasOwn() {
+		if sleeper.Sleep(ctx, c.alone()) != nil || c.hasOwn() {
 			continue
 		}
 		f, stop := context.WithCancel(ctx)
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -11,6 +11,7 @@
 
 	relayv1 "github.com/eelgrassdrift/eelgrassdrift/api/relay/v1"
 	"github.com/eelgrassdrift/eelgrassdrift/divider"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 )
 
 const (
@@ -217,7 +218,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if err := sleep(ctx, coalesce); err != nil {
+		if err := sleeper.Sleep(ctx, coalesce); err != nil {
 			return err
 		}
 	}
@@ -333,14 +334,3 @@
 	}
 	return o.link.send(&relayv1.ExchangeMessage{Message: &relayv1.ExchangeMessage_Demand{Demand: m}})
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/relayer/exchanger.go
+++ b/relayer/exchanger.go
@@ -11,6 +11,7 @@
 
 	relayv1 "github.com/eelgrassdrift/eelgrassdrift/api/relay/v1"
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 )
 
 // planInterval is the time between two looks at the list of peers.
@@ -100,7 +101,7 @@
 		if err := x.dial(ctx, a); err != nil && ctx.Err() == nil {
 			x.Server.Log.Debug().Stringer("peer-address", a).Err(err).Msg("peer not reached")
 		}
-		_ = sleep(ctx, retryInterval+rand.N(2*retryInterval))
+		_ = sleeper.Sleep(ctx, retryInterval+rand.N(2*retryInterval))
 	}
 	ended <- a
 }
