dispatcher: leave slots free for first requests under overload

First requests are refused early, so their queue is mostly empty when a slot becomes free, and the late ones that wait for up to 2.5 s took it. The number served is the same either way; the number served in time is not.

Change: within 1 s after the refusal of a first request, late requests fill an endpoint only to 3/4 of its slots, but for one slot in 20.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -62,8 +62,8 @@
 	// Resumed requests go on with a stream that the caller reads already. They go
 	// before all others, as a pause of a stream is seen at once.
 	Resumed bool
-	// Patient requests were refused before and are late already. They get a part
-	// of the free slots while others wait, and all that the others leave.
+	// Patient requests were refused before and are late already. While others wait
+	// or are refused they get a small part of the free slots, else all of them.
 	Patient bool
 	// Prompt is the number of tokens to be read before the first answer; 0 for a
 	// plain service.
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -134,7 +134,7 @@
 	})
 }
 
-// send N [home=REGION] [prompt=N] [not=ID] sends requests that don't wait, and
+// send N [home=REGION] [prompt=N] [not=ID] [resumed] [late] sends requests that don't wait, and
 // counts where they went.
 func (w *world) send(f []string) string {
 	n, _ := strconv.Atoi(f[1])
@@ -150,6 +150,8 @@
 			r.Exclude = []string{v}
 		case "resumed":
 			r.Resumed = true
+		case "late":
+			r.Patient = true
 		}
 	}
 	count := make(map[string]int)
--- a/dispatcher/lease.go
+++ b/dispatcher/lease.go
@@ -49,6 +49,12 @@
 	l.reading = p.readTime(r)
 	n.reading += l.reading
 	n.inFlight++
+	switch {
+	case r.Patient:
+		p.firsts = 0
+	case !r.Resumed:
+		p.firsts++
+	}
 	if !now.After(n.coldUntil) {
 		n.sent = append(n.sent, now)
 	}
--- a/dispatcher/pick.go
+++ b/dispatcher/pick.go
@@ -107,7 +107,7 @@
 
 // hasRoom reports whether the endpoint may get the request now.
 func (d *Dispatcher) hasRoom(p *pool, n *node, r Request, now time.Time) bool {
-	if n.load(now, d.gateways) >= n.limit() || n.coldFull(now, p.coldShare) {
+	if n.load(now, d.gateways) >= p.limit(n, r, now) || n.coldFull(now, p.coldShare) {
 		return false
 	}
 	return r.Resumed || n.reading == 0 || n.reading+p.readTime(r) <= d.readBound(r)
--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -20,9 +20,15 @@
 )
 
 const (
-	// patientEvery is the number of grants of which one goes to a request that is
+	// patientEvery is the number of slots of which one goes to a request that is
 	// late already. Under lasting overload the others stay in time.
-	patientEvery = 6
+	patientEvery = 20
+	// pressure is how long after the refusal of a first request the service is
+	// taken for overloaded; about the time in which a slot becomes free.
+	pressure = time.Second
+	// pressedShare is the part of an endpoint's slots that late requests may fill
+	// under overload beyond their turns. First requests find the rest free.
+	pressedShare = 0.75
 	// maxQueue bounds the requests that wait for one service at one gateway.
 	maxQueue = 512
 )
@@ -40,8 +46,10 @@
 	nodes   map[string]*node
 	// fresh and patient are the queues, each by rank and then by arrival.
 	fresh, patient []*waiter
-	// grants counts the slots given to queued requests.
-	grants int
+	// firsts counts the slots given to first requests since a late one got one.
+	firsts int
+	// refusedAt is when a first request was last refused for want of a slot.
+	refusedAt time.Time
 	// model is the model of the engines; empty for a plain service.
 	model string
 	// readRate is the number of prompt tokens that an engine reads per second.
@@ -83,19 +91,41 @@
 
 // ahead is the number of slots that become free until the request gets one, if
 // what is ahead of it stays as it is.
-func (p *pool) ahead(r Request) float64 {
+func (p *pool) ahead(r Request, now time.Time) float64 {
 	n := 1.0
 	for _, w := range *p.queue(r) {
 		if w.rank <= r.rank() {
 			n++
 		}
 	}
-	if r.Patient && len(p.fresh) > 0 {
+	if r.Patient && (len(p.fresh) > 0 || p.isPressed(now)) {
 		return n * patientEvery
 	}
 	return n
 }
 
+// isPressed reports whether first requests were refused lately for want of a slot.
+func (p *pool) isPressed(now time.Time) bool { return now.Sub(p.refusedAt) < pressure }
+
+// isTurn reports whether the next slot goes to a late request.
+func (p *pool) isTurn() bool { return p.firsts >= patientEvery-1 }
+
+// limit is the number of requests at an endpoint up to which the request gets a slot.
+func (p *pool) limit(n *node, r Request, now time.Time) int {
+	if r.Patient && p.isPressed(now) && !p.isTurn() {
+		return max(1, int(float64(n.limit())*pressedShare))
+	}
+	return n.limit()
+}
+
+// refuseFull refuses a request for want of a slot.
+func (p *pool) refuseFull(r Request, now time.Time, reason string, after time.Duration) error {
+	if !r.Patient && !r.Resumed {
+		p.refusedAt = now
+	}
+	return refuse(classifier.Exhausted, reason, after)
+}
+
 // rate is the number of slots per second that became free lately for requests
 // of this gateway; 0 where too few did to tell.
 func (p *pool) rate(now time.Time) float64 {
@@ -128,11 +158,11 @@
 	}
 	left := r.Until.Sub(now)
 	if left <= 0 || len(p.fresh)+len(p.patient) >= maxQueue {
-		return refuse(classifier.Exhausted, "full", fullRetry)
+		return p.refuseFull(r, now, "full", fullRetry)
 	}
 	if rate := p.rate(now); usable > 0 && rate > 0 {
-		if wait := time.Duration(p.ahead(r) / rate * float64(time.Second)); wait > left {
-			return refuse(classifier.Exhausted, "queue-too-long", max(fullRetry, wait))
+		if wait := time.Duration(p.ahead(r, now) / rate * float64(time.Second)); wait > left {
+			return p.refuseFull(r, now, "queue-too-long", max(fullRetry, wait))
 		}
 	}
 	return nil
@@ -148,7 +178,9 @@
 		if l := d.leave(p, w); l != nil {
 			return l, nil
 		}
-		return nil, refuse(classifier.Exhausted, "waited", fullRetry)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return nil, p.refuseFull(w.request, d.now(), "waited", fullRetry)
 	case <-ctx.Done():
 		if l := d.leave(p, w); l != nil {
 			l.Done(Left)
@@ -178,7 +210,7 @@
 // grantOne gives a slot to the first request that can use one.
 func (d *Dispatcher) grantOne(p *pool, now time.Time) bool {
 	first, second := p.fresh, p.patient
-	if p.grants%patientEvery == patientEvery-1 {
+	if p.isTurn() {
 		first, second = second, first
 	}
 	for _, q := range [...][]*waiter{first, second} {
@@ -188,7 +220,6 @@
 				continue
 			}
 			p.remove(w)
-			p.grants++
 			l := d.lease(p, n, w.request, now)
 			l.Waited = now.Sub(w.since)
 			w.granted <- l
