forwarder: give the last attempt until the deadline

Cause: firstWait and gapWait compared the number of attempts that had ended with those that the route allows, so the last attempt counted as one that another could take over from. It was cut after 1.2 to 1.6 s though nothing could follow.

Change: isLast counts the present attempt. TestFront fails without it: a second attempt that answers after 1.7 s got 502, a resumed stream with a pause of 1.3 s was broken off.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -48,8 +48,9 @@
 	unflushed bool
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
-	tries     int
-	waited    time.Duration
+	// tries counts the attempts that ended.
+	tries  int
+	waited time.Duration
 	// tried holds the ids of the endpoints that got the request.
 	tried []string
 	first time.Duration
@@ -62,10 +63,13 @@
 	return len(c.body) > 0 || c.method == http.MethodPost || c.method == http.MethodPut || c.method == http.MethodPatch
 }
 
+// isLast reports whether nothing can take over from the present attempt.
+func (c *call) isLast() bool { return c.isOnce() || c.tries+1 >= c.match.Route.Attempts }
+
 // firstWait is how long an endpoint may take to its first byte.
 func (c *call) firstWait() time.Duration {
 	left := time.Until(c.deadline)
-	if c.isOnce() || c.tries >= c.match.Route.Attempts {
+	if c.isLast() {
 		return left
 	}
 	return min(left, max(aimWaits*c.match.Route.Aim, minFirstWait))
@@ -74,7 +78,7 @@
 // gapWait is how long an endpoint may take to the next event.
 func (c *call) gapWait() time.Duration {
 	left := time.Until(c.deadline)
-	if c.isOnce() || c.tries >= c.match.Route.Attempts {
+	if c.isLast() {
 		return left
 	}
 	if !c.started {
--- a/forwarder/front_test.go
+++ b/forwarder/front_test.go
@@ -133,6 +133,8 @@
 		out = fmt.Sprintf(refusal, "503 Busy")
 	case "misdirect":
 		out = fmt.Sprintf(refusal, "421 Misdirected")
+	case "slow":
+		time.Sleep(time.Duration(n) * time.Millisecond)
 	case "fail":
 		out = head("500 Broken", id, "Content-Length: 3\r\n\r\nbad")
 	case "unproved":
@@ -159,20 +161,28 @@
 		_, _ = io.WriteString(c, head("200 OK", id, "\r\nhello"))
 		time.Sleep(20 * time.Millisecond)
 		return false
-	case "stream", "cut", "cut-inside", "silent":
+	case "stream", "cut", "cut-inside", "silent", "pause":
 		return b.stream(c, q, head, name, n)
 	}
 	_, _ = io.WriteString(c, out)
 	return keep
 }
 
-// stream writes n events behind the one from which the stream resumes.
+// stream writes n events behind the one from which the stream resumes; for "pause"
+// two with a pause of n milliseconds between them.
 func (b *backend) stream(c net.Conn, q *http.Request, head func(string, string, string) string, name string, n int) bool {
 	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	pause := time.Duration(0)
+	if name == "pause" {
+		pause, n = time.Duration(n)*time.Millisecond, 2
+	}
 	_, _ = io.WriteString(c, head("200 OK", q.Header.Get(headers.RequestID), "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
 	chunk := func(s string) { _, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(s), s) }
 	for i := from + 1; i <= from+n; i++ {
 		chunk(fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i))
+		if i < from+n {
+			time.Sleep(pause)
+		}
 	}
 	switch name {
 	case "cut":
