--- a/internal/direct/command.go
+++ b/internal/direct/command.go
@@ -114,25 +114,26 @@
 			}
 			defer n.closer.Close()
 			setGC(gcPercent)
-			go keepSettings(ctx, n.log)
+			defer keepSettings(n.log)()
 			return p.Run(ctx)
 		},
 	}
 }
 
-// keepSettings answers SIGHUP. All settings are flags and environment variables,
+// keepSettings answers SIGHUP, which would end the process otherwise, until the
+// returned function is called. All settings are flags and environment variables,
 // which a running process can't read anew; they take effect at the next start.
-func keepSettings(ctx context.Context, log zerolog.Logger) {
+func keepSettings(log zerolog.Logger) (stop func()) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
+	go func() {
+		for range hup {
 			log.Info().Str("reason", "settings are flags").Msg("reload-kept-settings")
 		}
+	}()
+	return func() {
+		signal.Stop(hup)
+		close(hup)
 	}
 }
 
--- /dev/null
+++ b/internal/direct/command_test.go
@@ -0,0 +1,53 @@
+package direct
+
+import (
+	"context"
+	"io"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+)
+
+// lines receives what a logger writes.
+type lines chan string
+
+func (l lines) Write(b []byte) (int, error) {
+	l <- string(b)
+	return len(b), nil
+}
+
+// runner stands for a gateway or an agent.
+type runner func(context.Context) error
+
+func (r runner) Run(ctx context.Context) error { return r(ctx) }
+
+// A signal that says that settings changed must not end the process: requests that
+// it had read got no answer.
+func TestHangup(t *testing.T) {
+	out := make(lines, 8)
+	c := command("test", nil, 100, func(*cli.Command) (process, common, error) {
+		return runner(func(context.Context) error {
+			for range 2 {
+				if err := syscall.Kill(syscall.Getpid(), syscall.SIGHUP); err != nil {
+					return err
+				}
+				select {
+				case s := <-out:
+					if !strings.Contains(s, "reload-kept-settings") {
+						t.Errorf("the log line is %s", s)
+					}
+				case <-time.After(5 * time.Second):
+					t.Error("no log line")
+				}
+			}
+			return nil
+		}), common{log: zerolog.New(out), closer: io.NopCloser(nil)}, nil
+	})
+	if err := c.Run(t.Context(), []string{"direct"}); err != nil {
+		t.Fatal(err)
+	}
+}
