dispatcher: allocate nothing but the lease for a decision

Cause: a draw of endpoints returned a slice on the heap; no benchmark told of it.

Change: the draw returns an array. TestAllocations fails without it (2 and 3 allocations in place of 1).

The time of a decision grows with the endpoints of the service, which docs/CAPACITY.md takes up.

--- a/dispatcher/pick.go
+++ b/dispatcher/pick.go
@@ -80,7 +80,8 @@
 	var best *node
 	var low float64
 	try := func(l []*node, draws int) {
-		for _, i := range sample(len(l), draws) {
+		drawn, k := sample(len(l), draws)
+		for _, i := range drawn[:k] {
 			if s := d.score(p, l[i], r, now); best == nil || s < low {
 				best, low = l[i], s
 			}
@@ -91,20 +92,18 @@
 	return best, found
 }
 
-// sample returns up to two different random numbers below n.
-func sample(n, draws int) []int {
+// sample returns up to two different random numbers below n and their count.
+func sample(n, draws int) (drawn [2]int, k int) {
 	if n <= draws {
-		return firstTwo[:n]
+		return [2]int{0, 1}, n
 	}
 	i := rand.IntN(n)
 	if draws == 1 {
-		return []int{i}
+		return [2]int{i}, 1
 	}
-	return []int{i, (i + 1 + rand.IntN(n-1)) % n}
+	return [2]int{i, (i + 1 + rand.IntN(n-1)) % n}, 2
 }
 
-var firstTwo = []int{0, 1}
-
 // hasRoom reports whether the endpoint may get the request now.
 func (d *Dispatcher) hasRoom(p *pool, n *node, r Request, now time.Time) bool {
 	if n.load(now, d.gateways) >= p.limit(n, r, now) || n.coldFull(now, p.coldShare) {
