loader: let engines that are added fetch from those that have the version

Cause: at a scale-out each empty instance became the first source of its share of the chunks. The members were also in random order, so the plan was made anew twice a second.

Ruled out: chunks in flight to an instance.

Change: instances whose engine lacks a version that at least half of their failure domain serves aren't ranked.

--- a/distributor/group.go
+++ b/distributor/group.go
@@ -90,7 +90,7 @@
 			for _, m := range nodes[i+(j-i)*c/cells : i+(j-i)*(c+1)/cells] {
 				leaf := newGroup(cell, string(m.Instance))
 				leaf.member = m.Member
-				if !m.Leaving && !m.unlisted {
+				if !m.Leaving && !m.Empty && !m.unlisted {
 					leaf.ranked = 1
 				}
 				if m.Instance == self.Instance {
--- a/distributor/member.go
+++ b/distributor/member.go
@@ -13,4 +13,7 @@
 	Address netip.AddrPort
 	// Leaving instances are not ranked, so nobody waits for them.
 	Leaving bool
+	// Empty instances lack a version that enough others have. They are not ranked
+	// either, or chunks of which they are first would be fetched from afar again.
+	Empty bool
 }
--- a/distributor/ranker_test.go
+++ b/distributor/ranker_test.go
@@ -53,6 +53,7 @@
 			if string(m.Instance) == self {
 				me = m
 				members[i].Leaving = d.HasArg("leaving")
+				members[i].Empty = d.HasArg("empty")
 			}
 		}
 		chunks := digests(3)
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -152,12 +152,21 @@
 
 // members returns the instances of the own service.
 func (a *Agent) members() []distributor.Member {
+	list := a.follower.state.Endpoints()
+	var empty map[netip.AddrPort]bool
+	if e := a.loader.Engine(); e != nil {
+		empty = loader.Empty(list, a.Service, e.Model, max(1, a.follower.state.Target(e.Model, 0).Version))
+	}
 	var l []distributor.Member
-	for _, e := range a.follower.state.Endpoints() {
+	for _, e := range list {
 		if e.Service == a.Service {
-			l = append(l, a.member(e.Address, e.Domain, e.Region, e.Draining))
+			m := a.member(e.Address, e.Domain, e.Region, e.Draining)
+			m.Empty = empty[e.Address]
+			l = append(l, m)
 		}
 	}
+	// The order must be the same each time, or the plan is made anew.
+	slices.SortFunc(l, func(x, y distributor.Member) int { return x.Address.Compare(y.Address) })
 	return l
 }
 
