observer: drop entries at once that leave after an outage

The store turned edge-trencin-a-2 away from 24.5 to 32.5 s; the gateway had the list again at 33.2 s. A replica left at 33.73 s by the removal of its entry. The gateway read that at 33.9 s, within 1.9 s of the last failed read, took it for an entry that had lapsed in the outage, kept it for another 1.9 s and removed it with the read after that, at 36.05 s.

Ruled out: the change of late requests and the ranking of empty instances, which don't touch the list.

Change: only what was dropped until the first answer after an outage may have lapsed. It is kept until 1.9 s after the last failed read, and the end of that is looked at with each update of the dispatcher, not with the next read of the list. TestLeaveAfterOutage fails without the change.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -98,9 +98,9 @@
 	f := strings.Fields(line)
 	switch f[0] {
 	case "endpoint":
-		w.state.ApplyEndpoints([]connector.Item{w.item(f[1], strings.Join(f[2:], " "))})
+		w.state.ApplyEndpoints([]connector.Item{w.item(f[1], strings.Join(f[2:], " "))}, true)
 	case "gone":
-		w.state.ApplyEndpoints([]connector.Item{w.item(f[1], "")})
+		w.state.ApplyEndpoints([]connector.Item{w.item(f[1], "")}, true)
 	case "operator":
 		w.state.ApplyOperator([]connector.Item{w.item(f[1], strings.Join(f[2:], " "))}, false)
 	case "gateways":
--- a/forwarder/front_test.go
+++ b/forwarder/front_test.go
@@ -231,7 +231,7 @@
 		n, _ := strconv.Atoi(key[1:])
 		return &observer.Endpoint{ID: key, Service: "s", Address: all[n].address(), Domain: "a", Region: "r", Slots: 4}, nil
 	}
-	state.ApplyEndpoints(items)
+	state.ApplyEndpoints(items, true)
 	d := &dispatcher.Dispatcher{Domain: "a", Region: "r", State: state}
 	d.Update()
 	return &forwarder.Front{
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -126,8 +126,8 @@
 		return (&observer.Follower{
 			Name: endpointTable, Table: &f.endpoints, Sources: f.sources(endpointTable, f.tables.Endpoints, agent),
 			Wait: listWait, Pace: pace, Log: f.log, Failed: f.state.ListFailed,
-			Changed: func(fresh []connector.Item, _ bool) {
-				f.state.ApplyEndpoints(fresh)
+			Changed: func(fresh []connector.Item, first bool) {
+				f.state.ApplyEndpoints(fresh, first)
 				f.notify(len(fresh) > 0)
 			},
 		}).Run(ctx)
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -193,6 +193,7 @@
 			return nil
 		case <-t.C:
 		}
+		g.follower.state.ExpireEndpoints()
 		g.dispatcher.Update()
 		if time.Since(swept) > sweepPace {
 			swept = time.Now()
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -187,7 +187,7 @@
 		Now: time.Now, Log: zerolog.Nop(),
 	}
 	b.put("config", "x")
-	b.state.ApplyEndpoints([]connector.Item{{Key: "e1", Value: []byte("x"), Offset: 1}})
+	b.state.ApplyEndpoints([]connector.Item{{Key: "e1", Value: []byte("x"), Offset: 1}}, true)
 	replica := b.engine.replica()
 	store := &distributor.Store{}
 	self := distributor.Member{Instance: "127.0.0.2", FailureDomain: "a", Region: "r"}
--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -137,29 +137,63 @@
 // its return, if the endpoint lives. Without an outage it is gone at once.
 func TestLapsedEntries(t *testing.T) {
 	c := newClock()
-	c.ApplyEndpoints([]connector.Item{value("e1", "x", 1), value("e2", "x", 2)})
-	c.ApplyEndpoints([]connector.Item{{Key: "e1", Offset: 3}})
+	c.ApplyEndpoints([]connector.Item{value("e1", "x", 1), value("e2", "x", 2)}, true)
+	c.ApplyEndpoints([]connector.Item{{Key: "e1", Offset: 3}}, true)
 	if len(c.Endpoints()) != 1 {
 		t.Fatal("an endpoint whose entry was dropped is still listed")
 	}
 	c.ListFailed()
 	c.now = c.now.Add(time.Second)
-	c.ApplyEndpoints([]connector.Item{{Key: "e2", Offset: 4}})
+	c.ApplyEndpoints([]connector.Item{{Key: "e2", Offset: 4}}, true)
 	if len(c.Endpoints()) != 1 {
 		t.Fatal("an entry that lapsed in an outage was dropped at once")
 	}
-	c.now = c.now.Add(2 * time.Second)
-	c.ApplyEndpoints(nil)
+	c.now = c.now.Add(950 * time.Millisecond)
+	c.ExpireEndpoints()
 	if len(c.Endpoints()) != 0 {
 		t.Fatal("an entry that did not come back is still listed")
 	}
 }
 
+// An endpoint that leaves after the return of the platform didn't lapse in the outage.
+// Kept like one that did, it got requests later than its time to drain.
+func TestLeaveAfterOutage(t *testing.T) {
+	c := newClock()
+	c.ApplyEndpoints([]connector.Item{value("e1", "x", 1), value("e2", "x", 2)}, true)
+	c.ListFailed()
+	c.now = c.now.Add(500 * time.Millisecond)
+	c.ApplyEndpoints(nil, true)
+	c.now = c.now.Add(700 * time.Millisecond)
+	c.ApplyEndpoints([]connector.Item{{Key: "e1", Offset: 3}}, true)
+	if m := c.Endpoints(); len(m) != 1 || m["e2"] == nil {
+		t.Errorf("listed after the leave of e1: %v", m)
+	}
+}
+
+// What peers tell while the platform doesn't answer may have lapsed, until the
+// platform itself answers.
+func TestLapsedAtPeers(t *testing.T) {
+	c := newClock()
+	c.ApplyEndpoints([]connector.Item{value("e1", "x", 1)}, true)
+	c.ListFailed()
+	c.ApplyEndpoints(nil, false)
+	c.ApplyEndpoints([]connector.Item{{Key: "e1", Offset: 3}}, false)
+	if len(c.Endpoints()) != 1 {
+		t.Error("an entry that lapsed in an outage was dropped at once")
+	}
+	c.ApplyEndpoints([]connector.Item{value("e1", "x", 4)}, true)
+	c.now = c.now.Add(3 * time.Second)
+	c.ExpireEndpoints()
+	if len(c.Endpoints()) != 1 {
+		t.Error("an entry that came back was dropped")
+	}
+}
+
 // An entry that another writer spoilt names no endpoint; the others hold.
 func TestSpoiltEntry(t *testing.T) {
 	c := newClock()
-	c.ApplyEndpoints([]connector.Item{value("e1", "x", 1), value("e2", "x", 2)})
-	c.ApplyEndpoints([]connector.Item{value("e1", "bad", 3)})
+	c.ApplyEndpoints([]connector.Item{value("e1", "x", 1), value("e2", "x", 2)}, true)
+	c.ApplyEndpoints([]connector.Item{value("e1", "bad", 3)}, true)
 	if m := c.Endpoints(); len(m) != 1 || m["e2"] == nil {
 		t.Errorf("%v", m)
 	}
--- a/observer/state.go
+++ b/observer/state.go
@@ -1,6 +1,7 @@
 package observer
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -15,7 +16,7 @@
 )
 
 // returnTime is how long an entry that lapsed while the platform was away may be
-// missing after the platform's return until the endpoint is taken as gone.
+// missing after the last failed read until the endpoint is taken as gone.
 const returnTime = 1900 * time.Millisecond
 
 // Decision is the meaning of one operator record; one field is set.
@@ -79,9 +80,11 @@
 	evacuated map[string]string
 	targets   map[string]*history
 	gateways  map[string]*Gateway
-	// outage is when a read of the list from the platform failed last.
+	// outage is when a read of the list from the first source failed last; away is
+	// set until it answers again.
 	outage time.Time
-	// missing holds when an entry was found dropped shortly after an outage.
+	away   bool
+	// missing holds until when entries that lapsed in an outage are kept.
 	missing map[string]time.Time
 }
 
@@ -207,29 +210,31 @@
 func (s *State) ListFailed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.outage = s.Now()
+	s.outage, s.away = s.Now(), true
 }
 
-// ApplyEndpoints takes fresh entries of the list.
-func (s *State) ApplyEndpoints(items []connector.Item) {
+// ApplyEndpoints takes fresh entries of the list; first tells that the first source
+// gave them. Entries that were dropped until its first answer after an outage may have
+// lapsed because they couldn't be renewed, and are kept for a while. Later ones left.
+func (s *State) ApplyEndpoints(items []connector.Item, first bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	lapsed := s.away
+	if first {
+		s.away = false
+	}
 	if s.missing == nil {
 		s.missing = make(map[string]time.Time)
 	}
 	if len(items) == 0 && len(s.missing) == 0 && s.Endpoints() != nil {
 		return
 	}
-	m := make(map[string]*Endpoint)
-	for k, e := range s.Endpoints() {
-		m[k] = e
-	}
-	now := s.Now()
+	m := s.copyEndpoints()
 	for _, i := range items {
 		delete(s.missing, i.Key)
 		if i.Value == nil {
-			if m[i.Key] != nil && now.Sub(s.outage) < returnTime {
-				s.missing[i.Key] = now
+			if m[i.Key] != nil && lapsed {
+				s.missing[i.Key] = s.outage.Add(returnTime)
 				continue
 			}
 			s.remove(m, i.Key, "dropped")
@@ -244,13 +249,38 @@
 		s.logChange(m[i.Key], e)
 		m[i.Key] = e
 	}
-	for k, at := range s.missing {
-		if now.Sub(at) >= returnTime {
+	s.expire(m)
+	s.endpoints.Store(&m)
+}
+
+// ExpireEndpoints removes the entries that didn't come back after an outage. It is
+// called several times a second where requests are placed, since reads of the list
+// are further apart.
+func (s *State) ExpireEndpoints() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.missing) == 0 {
+		return
+	}
+	m := s.copyEndpoints()
+	s.expire(m)
+	s.endpoints.Store(&m)
+}
+
+func (s *State) copyEndpoints() map[string]*Endpoint {
+	m := make(map[string]*Endpoint)
+	maps.Copy(m, s.Endpoints())
+	return m
+}
+
+func (s *State) expire(m map[string]*Endpoint) {
+	now := s.Now()
+	for k, until := range s.missing {
+		if !now.Before(until) {
 			delete(s.missing, k)
 			s.remove(m, k, "lapsed")
 		}
 	}
-	s.endpoints.Store(&m)
 }
 
 func (s *State) remove(m map[string]*Endpoint, id, reason string) {
