forwarder, direct, dispatcher: remove what stood twice or served nothing

Behaviour is unchanged.

- An attempt's lease is that of its call; the copy goes. connection.reused and Configuration.Service had no reader.
- Gateway and agent open their listeners by one function, serve.
- The members of an agent are in order already; digests sorted them again.
- node.cool serves the list and the answers of endpoints alike.
- The attributes of a call are made once in place of three times.

Left: platform/client.go and connector/http.go map other statuses to other kinds and read other bodies; the keep-alive settings of forwarder.Transport and direct's client differ on purpose.

--- a/connector/http.go
+++ b/connector/http.go
@@ -36,7 +36,7 @@
 	}
 	r, err := c.client.Do(q)
 	if err != nil {
-		return nil, &Error{Op: op, Kind: transportKind(err), Err: err}
+		return nil, &Error{Op: op, Kind: TransportKind(err), Err: err}
 	}
 	if r.StatusCode < http.StatusMultipleChoices {
 		return r, nil
@@ -45,7 +45,9 @@
 	return nil, statusError(op, r)
 }
 
-func transportKind(err error) classifier.Kind {
+// TransportKind tells a call that never left from one whose reply was lost: it is
+// Unavailable or OutcomeUnknown.
+func TransportKind(err error) classifier.Kind {
 	if IsDialError(err) {
 		return classifier.Unavailable
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -162,10 +162,8 @@
 			}
 			p.nodes[id] = n
 		}
-		if n.ID == "" || n.Cold != e.Cold {
-			if until := now.Add(e.Cold); e.Cold > 0 && until.After(n.coldUntil) {
-				n.coldUntil = until
-			}
+		if e.Cold > 0 && (n.ID == "" || n.Cold != e.Cold) {
+			n.cool(now.Add(e.Cold))
 		}
 		n.Endpoint = *e
 		n.Draining = e.Draining || evacuated[e.Domain]
@@ -191,9 +189,7 @@
 func (d *Dispatcher) ColdFor(l *Lease, cold time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if until := d.now().Add(cold); until.After(l.node.coldUntil) {
-		l.node.coldUntil = until
-	}
+	l.node.cool(d.now().Add(cold))
 }
 
 // Acquire returns a lease. The error is of type *Error.
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -147,6 +147,13 @@
 	n.faults -= n.faults * faultWeight
 }
 
+// cool notes that the endpoint stays cold.
+func (n *node) cool(until time.Time) {
+	if until.After(n.coldUntil) {
+		n.coldUntil = until
+	}
+}
+
 func (n *node) avoid(until time.Time) {
 	if until.After(n.avoidUntil) {
 		n.avoidUntil = until
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -22,11 +22,10 @@
 // maxAnswer bounds a response that is held until it is whole, in bytes.
 const maxAnswer = 8 << 20
 
-// attempt is one request to one endpoint.
+// attempt is one request to the endpoint of the call's lease.
 type attempt struct {
-	call  *call
-	lease *dispatcher.Lease
-	conn  *connection
+	call *call
+	conn *connection
 	// response is set once its headers are there and belong to the request.
 	response *http.Response
 	// sent tells that bytes of the request may have reached the endpoint.
@@ -60,7 +59,8 @@
 
 // run makes the attempt. The connection is closed as soon as the context ends.
 func (a *attempt) run(ctx context.Context, t *Transport) verdict {
-	conn, err := t.open(ctx, a.lease.Endpoint.Address, a.call.isOnce())
+	address := a.call.lease.Endpoint.Address
+	conn, err := t.open(ctx, address, a.call.isOnce())
 	if err != nil {
 		return verdict{outcome: retrier.NotRun, lease: dispatcher.Failed, err: err}
 	}
@@ -70,7 +70,7 @@
 	if !stop() || a.response == nil || a.response.Close || v.err != nil || v.lease == dispatcher.Failed {
 		conn.abort()
 	} else {
-		t.put(a.lease.Endpoint.Address, conn, a.response.Header.Get("Keep-Alive"))
+		t.put(address, conn, a.response.Header.Get("Keep-Alive"))
 	}
 	if ctx.Err() != nil && !v.done {
 		v.lease = dispatcher.Left
@@ -96,7 +96,7 @@
 	}
 	a.response = r
 	if ms, err := strconv.Atoi(r.Header.Get(n.Cold)); err == nil && ms > 0 {
-		a.call.front.Dispatcher.ColdFor(a.lease, time.Duration(ms)*time.Millisecond)
+		a.call.front.Dispatcher.ColdFor(a.call.lease, time.Duration(ms)*time.Millisecond)
 	}
 	if v, refused := a.refusal(); refused {
 		return v
@@ -120,7 +120,7 @@
 	c := a.call
 	n := c.front.Headers
 	h := maps.Clone(c.header)
-	h[n.Instance] = []string{a.lease.Endpoint.ID}
+	h[n.Instance] = []string{c.lease.Endpoint.ID}
 	h[n.Deadline] = []string{strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 1), 10)}
 	if c.lastEvent != "" {
 		h[n.ResumeFrom] = []string{c.lastEvent}
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -95,7 +95,7 @@
 		}
 		c.lease = l
 		c.waited += l.Waited
-		a := &attempt{call: c, lease: l}
+		a := &attempt{call: c}
 		v := a.run(c.ctx, c.front.Transport)
 		l.Done(v.lease)
 		if last.err == nil && last.answer == nil || v.outcome != retrier.NotRun {
--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -47,9 +47,7 @@
 // connection is a connection to an endpoint.
 type connection struct {
 	net.Conn
-	r *bufio.Reader
-	// reused tells that the connection carried a request before.
-	reused    bool
+	r         *bufio.Reader
 	idleUntil time.Time
 }
 
@@ -112,7 +110,6 @@
 		t.idle[a] = l[:len(l)-1]
 		t.mu.Unlock()
 		if time.Now().Before(c.idleUntil) && c.isSilent() {
-			c.reused = true
 			return c
 		}
 		_ = c.Close()
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -19,7 +19,6 @@
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/distributor"
-	"github.com/eelgrassdrift/eelgrassdrift/internal/listener"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
 	"github.com/eelgrassdrift/eelgrassdrift/loader"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
@@ -101,12 +100,10 @@
 		if !address.IsValid() {
 			continue
 		}
-		l, err := listener.Open(ctx, address)
+		s, err := serve(ctx, e, address, h)
 		if err != nil {
 			return err
 		}
-		s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
-		e.Go(func() error { return listener.Serve(s, l) })
 		context.AfterFunc(ctx, func() { _ = s.Close() })
 	}
 	a.Log.Info().Str("peers", a.Peers.String()).Str("engine", a.Engine.String()).Msg("start")
@@ -150,7 +147,7 @@
 	}
 }
 
-// members returns the instances of the own service.
+// members returns the instances of the own service in the order of their addresses.
 func (a *Agent) members() []distributor.Member {
 	list := a.follower.state.Endpoints()
 	var empty map[netip.AddrPort]bool
@@ -165,7 +162,7 @@
 			l = append(l, m)
 		}
 	}
-	// The order must be the same each time, or the plan is made anew.
+	// The plan is made anew where the list differs from the one before.
 	slices.SortFunc(l, func(x, y distributor.Member) int { return x.Address.Compare(y.Address) })
 	return l
 }
@@ -225,7 +222,6 @@
 func (a *Agent) digests(ctx context.Context, _ string, version int64) ([][32]byte, error) {
 	all := a.members()
 	near := slices.DeleteFunc(slices.Clone(all), func(m distributor.Member) bool { return string(m.FailureDomain) != a.Domain })
-	slices.SortFunc(near, func(x, y distributor.Member) int { return x.Address.Compare(y.Address) })
 	near = near[:min(len(near), digestPeers)]
 	isFirst := slices.ContainsFunc(near, func(m distributor.Member) bool { return m.Address == a.Peers })
 	if len(all) > 0 {
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -15,7 +15,6 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
-	"github.com/eelgrassdrift/eelgrassdrift/internal/listener"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
@@ -33,11 +32,6 @@
 	announcePause = time.Second
 	// announceTimeout bounds one try.
 	announceTimeout = 800 * time.Millisecond
-	// callerIdle is how long callers may keep a connection without a request;
-	// above what configurations allow, so that no request meets a close.
-	callerIdle = 75 * time.Second
-	// headerTimeout bounds the headers of a request.
-	headerTimeout = 5 * time.Second
 	// exitMargin is left of the longest time of a planned stop for the exit.
 	exitMargin = 700 * time.Millisecond
 )
@@ -149,13 +143,11 @@
 		if !s.address.IsValid() {
 			continue
 		}
-		l, err := listener.Open(ctx, s.address)
+		h, err := serve(ctx, e, s.address, s.handler)
 		if err != nil {
 			return nil, err
 		}
-		h := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, ErrorLog: nil}
 		servers = append(servers, h)
-		e.Go(func() error { return listener.Serve(h, l) })
 	}
 	return servers, nil
 }
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -66,11 +66,12 @@
 
 func (m *metrics) observe(r forwarder.Result) {
 	ctx := context.Background()
-	a := metric.WithAttributes(attribute.String("service", r.Service), attribute.String("outcome", r.Outcome))
-	m.requests.Add(ctx, 1, a)
-	m.tries.Add(ctx, int64(r.Tries), metric.WithAttributes(attribute.String("service", r.Service)))
-	m.waited.Record(ctx, r.Waited.Seconds(), metric.WithAttributes(attribute.String("service", r.Service)))
+	service := attribute.String("service", r.Service)
+	a := metric.WithAttributeSet(attribute.NewSet(service))
+	m.requests.Add(ctx, 1, metric.WithAttributes(service, attribute.String("outcome", r.Outcome)))
+	m.tries.Add(ctx, int64(r.Tries), a)
+	m.waited.Record(ctx, r.Waited.Seconds(), a)
 	if r.First > 0 {
-		m.first.Record(ctx, r.First.Seconds(), metric.WithAttributes(attribute.String("service", r.Service)))
+		m.first.Record(ctx, r.First.Seconds(), a)
 	}
 }
--- a/resolver/configuration.go
+++ b/resolver/configuration.go
@@ -165,15 +165,6 @@
 	return nil
 }
 
-// Service returns the service of a name, or nil.
-func (c *Configuration) Service(name string) *Service {
-	i := slices.IndexFunc(c.Services, func(s Service) bool { return s.Name == name })
-	if i < 0 {
-		return nil
-	}
-	return &c.Services[i]
-}
-
 // Origin returns the origin of weights, or nil.
 func (c *Configuration) Origin() *Service {
 	i := slices.IndexFunc(c.Services, func(s Service) bool { return s.Origin.IsValid() })
