forwarder, direct, observer: tell lag, late sends and the age of tables

The line of a request named the revision at its end, not the one that decided it.

Change: gauge and log lines of the lag, counter and log field of late sends, gauge of the age of each table, revision of the decision. No logic changes.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -30,6 +30,8 @@
 	response *http.Response
 	// sent tells that bytes of the request may have reached the endpoint.
 	sent bool
+	// callerGone tells that the caller had left when the request was sent.
+	callerGone bool
 }
 
 // verdict is what became of an attempt.
@@ -79,6 +81,7 @@
 }
 
 func (a *attempt) exchange() verdict {
+	a.callerGone = isCallerGone(a.call.ctx)
 	a.sent = true
 	if err := a.write(); err != nil {
 		return broken("send request", err)
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -34,6 +34,8 @@
 	header                http.Header
 	body                  []byte
 	match                 resolver.Match
+	// revision is that of the configuration which resolved the request; 0 for none.
+	revision uint64
 	// patient tells that the caller was refused before.
 	patient bool
 	// prompt is the number of tokens of the prompt.
@@ -51,6 +53,8 @@
 	// tries counts the attempts that ended.
 	tries  int
 	waited time.Duration
+	// sentLate tells that an attempt was made after the caller had left.
+	sentLate bool
 	// tried holds the ids of the endpoints that got the request.
 	tried []string
 	first time.Duration
--- a/forwarder/front.go
+++ b/forwarder/front.go
@@ -77,6 +77,8 @@
 	Outcome string
 	Status  int
 	Tries   int
+	// SentLate tells that an attempt was made after the caller had left.
+	SentLate bool
 	// Waited is the time in the queue, First the time to the first event or
 	// the whole answer, Total the time to the end.
 	Waited, First, Total time.Duration
@@ -111,6 +113,7 @@
 		c.refuse("no-configuration", startRetry)
 		return
 	}
+	c.revision = t.Configuration.Revision
 	m, err := t.Resolve(q.Host, pathOf(q.RequestURI), bearer(q.Header))
 	if err != nil {
 		c.fail(classifier.Of(err), "not-allowed", err)
--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -127,9 +127,8 @@
 		return false
 	}
 	silent := false
-	var b [1]byte
 	err = raw.Read(func(fd uintptr) bool {
-		_, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		_, e := peek(fd)
 		silent = errors.Is(e, unix.EAGAIN)
 		return true
 	})
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -71,9 +71,12 @@
 }
 
 func (f *follower) handler() *observer.Handler {
-	return &observer.Handler{Tables: map[string]*observer.Table{
-		operatorTable: &f.operators, endpointTable: &f.endpoints, gatewayTable: &f.gateways,
-	}}
+	return &observer.Handler{Tables: f.all()}
+}
+
+// all returns the tables by name.
+func (f *follower) all() map[string]*observer.Table {
+	return map[string]*observer.Table{operatorTable: &f.operators, endpointTable: &f.endpoints, gatewayTable: &f.gateways}
 }
 
 // peers returns the addresses of the other gateways, near ones first. The seeds
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -78,13 +78,14 @@
 	follower   *follower
 	dispatcher *dispatcher.Dispatcher
 	front      *forwarder.Front
+	lag        lag
 	stopping   atomic.Bool
 }
 
 // Run serves until the context ends, and then stops as planned.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.build()
-	m, err := newMetrics(g.Meter, g.dispatcher, g.follower.state)
+	m, err := newMetrics(g.Meter, g)
 	if err != nil {
 		return err
 	}
@@ -183,7 +184,8 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-t.C:
+		case due := <-t.C:
+			g.lag.observe(time.Since(due), g.Log)
 		}
 		g.follower.state.ExpireEndpoints()
 		g.dispatcher.Update()
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -10,17 +11,17 @@
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
-	"github.com/eelgrassdrift/eelgrassdrift/observer"
 )
 
 // metrics are the counters of a gateway.
 type metrics struct {
 	requests      metric.Int64Counter
 	tries         metric.Int64Counter
+	late          metric.Int64Counter
 	first, waited metric.Float64Histogram
 }
 
-func newMetrics(e *meter.Exporter, d *dispatcher.Dispatcher, s *observer.State) (*metrics, error) {
+func newMetrics(e *meter.Exporter, g *Gateway) (*metrics, error) {
 	m := &metrics{}
 	var err, all error
 	add := func() { all = errors.CombineErrors(all, err) }
@@ -28,6 +29,8 @@
 	add()
 	m.tries, err = e.Meter.Int64Counter("eelgrass.attempts", metric.WithDescription("Requests sent to endpoints."))
 	add()
+	m.late, err = e.Meter.Int64Counter("eelgrass.requests.sent.late", metric.WithDescription("Requests sent to an endpoint after their caller had left."))
+	add()
 	m.first, err = e.Meter.Float64Histogram("eelgrass.request.first", metric.WithUnit("s"), metric.WithDescription("Time to the first event or the whole answer."))
 	add()
 	m.waited, err = e.Meter.Float64Histogram("eelgrass.request.wait", metric.WithUnit("s"), metric.WithDescription("Time in the queue."))
@@ -38,15 +41,25 @@
 	add()
 	revision, err := e.Meter.Int64ObservableGauge("eelgrass.configuration.revision", metric.WithDescription("Revision in force."))
 	add()
+	behind, err := e.Meter.Float64ObservableGauge("eelgrass.process.lag", metric.WithUnit("s"), metric.WithDescription("How late the process runs what is due."))
+	add()
+	age, err := e.Meter.Float64ObservableGauge("eelgrass.table.age", metric.WithUnit("s"), metric.WithDescription("Time since a source answered for a table."))
+	add()
 	_, err = e.Meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
-		if t := s.Table(); t != nil {
+		if t := g.follower.state.Table(); t != nil {
 			o.ObserveInt64(revision, int64(t.Configuration.Revision))
 		}
-		for _, p := range d.Status() {
+		o.ObserveFloat64(behind, g.lag.last().Seconds())
+		for name, t := range g.follower.all() {
+			if at := t.Answered(); !at.IsZero() {
+				o.ObserveFloat64(age, time.Since(at).Seconds(), metric.WithAttributes(attribute.String("table", name)))
+			}
+		}
+		for _, p := range g.dispatcher.Status() {
 			observeStatus(o, endpoints, load, p)
 		}
 		return nil
-	}, endpoints, load, revision)
+	}, endpoints, load, revision, behind, age)
 	add()
 	return m, errors.Wrap(all, "make metrics")
 }
@@ -70,6 +83,9 @@
 	a := metric.WithAttributeSet(attribute.NewSet(service))
 	m.requests.Add(ctx, 1, metric.WithAttributes(service, attribute.String("outcome", r.Outcome)))
 	m.tries.Add(ctx, int64(r.Tries), a)
+	if r.SentLate {
+		m.late.Add(ctx, 1, a)
+	}
 	m.waited.Record(ctx, r.Waited.Seconds(), a)
 	if r.First > 0 {
 		m.first.Record(ctx, r.First.Seconds(), a)
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/listener"
 )
 
@@ -26,7 +27,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, ConnContext: forwarder.WithCaller}
 	e.Go(func() error { return listener.Serve(s, l) })
 	return s, nil
 }
--- a/observer/table.go
+++ b/observer/table.go
@@ -16,6 +16,8 @@
 	items map[string]connector.Item
 	// next is the offset from which the replica has seen nothing.
 	next uint64
+	// answered is when a source last answered.
+	answered time.Time
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -46,6 +48,7 @@
 		}
 	}
 	t.next = max(t.next, c.Next)
+	t.answered = time.Now()
 	if len(fresh) > 0 && t.changed != nil {
 		close(t.changed)
 		t.changed = nil
@@ -60,6 +63,13 @@
 	return t.next
 }
 
+// Answered returns when a source last answered; the zero time before the first.
+func (t *Table) Answered() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.answered
+}
+
 // Since returns the items from the offset on, with all keys where from is 0.
 func (t *Table) Since(from uint64) connector.Changes {
 	t.mu.Lock()
