forwarder: send nothing on for a caller that has left

Cause: the HTTP server notices that a caller left by a goroutine beside the handler. On a kept connection the handler sends without a wait, so a request that is read late is sent before that goroutine has run. Change: an attempt looks at the caller's connection itself, right before it sends. TestLateReadOfLeftCaller failed before (sent 2 in place of 1). Class: acting on what another goroutine has yet to notice. Why requests are read late is a cause of its own and is not mended here.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -30,8 +30,6 @@
 	response *http.Response
 	// sent tells that bytes of the request may have reached the endpoint.
 	sent bool
-	// callerGone tells that the caller had left when the request was sent.
-	callerGone bool
 }
 
 // verdict is what became of an attempt.
@@ -66,6 +64,11 @@
 	if err != nil {
 		return verdict{outcome: retrier.NotRun, lease: dispatcher.Failed, err: err}
 	}
+	if isCallerGone(ctx) {
+		conn.abort()
+		a.call.cancel()
+		return verdict{outcome: retrier.NotRun, lease: dispatcher.Left, err: errCallerGone}
+	}
 	a.conn = conn
 	stop := context.AfterFunc(ctx, conn.abort)
 	v := a.exchange()
@@ -81,7 +84,6 @@
 }
 
 func (a *attempt) exchange() verdict {
-	a.callerGone = isCallerGone(a.call.ctx)
 	a.sent = true
 	if err := a.write(); err != nil {
 		return broken("send request", err)
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -29,6 +29,8 @@
 	w     http.ResponseWriter
 	ctl   *http.ResponseController
 	ctx   context.Context
+	// cancel ends ctx as if the caller had left.
+	cancel context.CancelFunc
 
 	id, method, uri, host string
 	header                http.Header
@@ -53,8 +55,6 @@
 	// tries counts the attempts that ended.
 	tries  int
 	waited time.Duration
-	// sentLate tells that an attempt was made after the caller had left.
-	sentLate bool
 	// tried holds the ids of the endpoints that got the request.
 	tried []string
 	first time.Duration
--- a/forwarder/caller.go
+++ b/forwarder/caller.go
@@ -7,8 +7,13 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 )
 
+// errCallerGone ends an attempt before anything is sent.
+var errCallerGone = &Error{Op: "send request", Kind: classifier.Timeout, Err: errors.New("the caller has closed its connection")}
+
 // callerKey is the key of a caller's connection in the context of its requests.
 type callerKey struct{}
 
--- a/forwarder/front.go
+++ b/forwarder/front.go
@@ -77,8 +77,6 @@
 	Outcome string
 	Status  int
 	Tries   int
-	// SentLate tells that an attempt was made after the caller had left.
-	SentLate bool
 	// Waited is the time in the queue, First the time to the first event or
 	// the whole answer, Total the time to the end.
 	Waited, First, Total time.Duration
@@ -125,7 +123,7 @@
 	c.prepare(q, m)
 	ctx, cancel := context.WithDeadline(q.Context(), c.deadline)
 	defer cancel()
-	c.ctx = ctx
+	c.ctx, c.cancel = ctx, cancel
 	f.budget(c.service).Offer()
 	c.serve()
 }
--- a/forwarder/leave_test.go
+++ b/forwarder/leave_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
 )
 
 // When the caller leaves, the connection to the endpoint must be reset: a plain
@@ -45,3 +47,32 @@
 		t.Errorf("the endpoint learned of it after %s", d)
 	}
 }
+
+// A gateway that reads a request after its caller left must not send it on over a
+// kept connection, where no wait lets the server notice the close first.
+func TestLateReadOfLeftCaller(t *testing.T) {
+	f, all := newFront(t, 1)
+	all[0].script = &script{}
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		time.Sleep(10 * time.Millisecond)
+		f.ServeHTTP(w, q)
+	}))
+	s.Config.ConnContext = forwarder.WithCaller
+	s.Start()
+	defer s.Close()
+	if got := ask(s.URL, "any"); got != "200 hello" {
+		t.Fatal(got)
+	}
+	for range 50 {
+		c, err := net.Dial("tcp", s.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(c, "POST /any/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nX-Id: id-1\r\nContent-Length: 4\r\n\r\nbody")
+		_ = c.Close()
+	}
+	time.Sleep(300 * time.Millisecond)
+	if got := drain(all); got != "  sent 1 ran 1\n" {
+		t.Errorf("the endpoint saw %q, not only the request of the caller that stayed", got)
+	}
+}
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -103,7 +103,6 @@
 			// attempt did not run.
 			last = v
 		}
-		c.sentLate = c.sentLate || a.callerGone
 		if a.sent {
 			c.tries++
 		} else {
@@ -256,15 +255,12 @@
 	if c.match.Route != nil {
 		route = c.match.Route.Name
 	}
-	if c.sentLate {
-		l = l.Bool("sent-after-leave", true)
-	}
 	l.Str("request", c.id).Uint64("revision", c.revision).Str("route", route).Str("service", c.service).Str("outcome", outcome).Int("status", status).
 		Str("endpoint", c.lease.Endpoint.ID).Int64("version", c.lease.Version).Int("load", c.lease.Load).Int("tries", c.tries).
 		Dur("waited-ms", c.waited).Dur("first-ms", c.first).Dur("total-ms", total).Msg("request")
 	if c.front.Observe != nil {
 		c.front.Observe(Result{
-			Route: route, Service: c.service, Outcome: outcome, Status: status, Tries: c.tries, SentLate: c.sentLate,
+			Route: route, Service: c.service, Outcome: outcome, Status: status, Tries: c.tries,
 			Waited: c.waited, First: c.first, Total: total,
 		})
 	}
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -17,7 +17,6 @@
 type metrics struct {
 	requests      metric.Int64Counter
 	tries         metric.Int64Counter
-	late          metric.Int64Counter
 	first, waited metric.Float64Histogram
 }
 
@@ -29,8 +28,6 @@
 	add()
 	m.tries, err = e.Meter.Int64Counter("eelgrass.attempts", metric.WithDescription("Requests sent to endpoints."))
 	add()
-	m.late, err = e.Meter.Int64Counter("eelgrass.requests.sent.late", metric.WithDescription("Requests sent to an endpoint after their caller had left."))
-	add()
 	m.first, err = e.Meter.Float64Histogram("eelgrass.request.first", metric.WithUnit("s"), metric.WithDescription("Time to the first event or the whole answer."))
 	add()
 	m.waited, err = e.Meter.Float64Histogram("eelgrass.request.wait", metric.WithUnit("s"), metric.WithDescription("Time in the queue."))
@@ -83,9 +80,6 @@
 	a := metric.WithAttributeSet(attribute.NewSet(service))
 	m.requests.Add(ctx, 1, metric.WithAttributes(service, attribute.String("outcome", r.Outcome)))
 	m.tries.Add(ctx, int64(r.Tries), a)
-	if r.SentLate {
-		m.late.Add(ctx, 1, a)
-	}
 	m.waited.Record(ctx, r.Waited.Seconds(), a)
 	if r.First > 0 {
 		m.first.Record(ctx, r.First.Seconds(), a)
