direct, gateway, listener: bound the connections of callers

Cause: callers open a connection for each try and keep it; gateways kept each for 75 s. At some thousand tries in ten seconds a gateway has used up its descriptors. The server then accepts nothing for up to a second at a time, and connections to endpoints, the store and peers can't be made either. Ruled out: a gateway without processor time (no line says behind). Change: of the descriptors callers get half; beyond that the connection that rested longest is closed for each new one.

--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -100,7 +100,8 @@
 		if !address.IsValid() {
 			continue
 		}
-		s, err := serve(ctx, e, address, h)
+		s := newServer(h)
+		err := serve(ctx, e, address, s)
 		if err != nil {
 			return err
 		}
--- a/internal/direct/command.go
+++ b/internal/direct/command.go
@@ -39,6 +39,7 @@
 		settings.Period("balancer-wait", 2600*time.Millisecond, "time from not ready to the last new connection in a planned stop"),
 		settings.Int64("drain-ms", 2000, "milliseconds after which a leaving endpoint must get no more requests"),
 		settings.Int64("stop-seconds", 8, "longest time of a planned stop in seconds"),
+		settings.Int64("descriptors", 0, "files and connections that may be open; 0 for the limit of the process"),
 	)
 	return command("send requests straight to endpoints, on a platform without agents before them", f, gatewayGCPercent, func(c *cli.Command) (process, common, error) {
 		var s settings.Faults
@@ -56,6 +57,7 @@
 			Drain:        time.Duration(s.Int("drain-ms", c.Int64("drain-ms"), 100, 1<<31)) * time.Millisecond,
 			BalancerWait: s.Duration("balancer-wait", c.Duration("balancer-wait"), 0, time.Minute),
 			StopTimeout:  time.Duration(s.Int("stop-seconds", c.Int64("stop-seconds"), 1, 3600)) * time.Second,
+			Descriptors:  int(s.Int("descriptors", c.Int64("descriptors"), 0, 1<<30)),
 		}
 		if err := s.Err(); err != nil {
 			return nil, n, err
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/listener"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
@@ -71,20 +72,26 @@
 	// BalancerWait is the time from not ready to the last new connection, and
 	// StopTimeout the longest time of a planned stop.
 	BalancerWait, StopTimeout time.Duration
-	Platform                  *Platform
-	Meter                     *meter.Exporter
-	Log                       zerolog.Logger
+	// Descriptors is how many descriptors the process may have open; 0 means the
+	// limit that the system gives it.
+	Descriptors int
+	Platform    *Platform
+	Meter       *meter.Exporter
+	Log         zerolog.Logger
 
 	follower   *follower
 	dispatcher *dispatcher.Dispatcher
 	front      *forwarder.Front
 	lag        lag
+	callers    listener.Trimmer
 	stopping   atomic.Bool
 }
 
 // Run serves until the context ends, and then stops as planned.
 func (g *Gateway) Run(ctx context.Context) error {
-	g.build()
+	if err := g.build(); err != nil {
+		return err
+	}
 	m, err := newMetrics(g.Meter, g)
 	if err != nil {
 		return err
@@ -115,7 +122,12 @@
 	return e.Wait()
 }
 
-func (g *Gateway) build() {
+func (g *Gateway) build() error {
+	most, err := listener.CallerBound(g.Descriptors)
+	if err != nil {
+		return err
+	}
+	g.callers.Most = most
 	g.follower = newFollower(g.Platform, g.Store, g.Peers, g.Domain, g.Regions, g.Log)
 	g.follower.drain, g.follower.seeds = g.Drain, g.Seeds
 	g.dispatcher = &dispatcher.Dispatcher{
@@ -127,6 +139,7 @@
 		Table: func() *resolver.Table { return g.follower.state.Table() }, Log: g.Log,
 		Budget: forwarder.Budget{Share: g.RetryRatio * retryShare, Burst: g.RetryExtra / retryGateways},
 	}
+	return nil
 }
 
 // serve opens the listeners; the one of callers is the first of the servers.
@@ -144,8 +157,11 @@
 		if !s.address.IsValid() {
 			continue
 		}
-		h, err := serve(ctx, e, s.address, s.handler)
-		if err != nil {
+		h := newServer(s.handler)
+		if s.address == g.Front {
+			h.ConnContext, h.ConnState = forwarder.WithCaller, g.callers.ConnState
+		}
+		if err := serve(ctx, e, s.address, h); err != nil {
 			return nil, err
 		}
 		servers = append(servers, h)
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -42,11 +42,18 @@
 	add()
 	age, err := e.Meter.Float64ObservableGauge("eelgrass.table.age", metric.WithUnit("s"), metric.WithDescription("Time since a source answered for a table."))
 	add()
+	callers, err := e.Meter.Int64ObservableGauge("eelgrass.callers.open", metric.WithDescription("Open connections of callers."))
+	add()
+	trimmed, err := e.Meter.Int64ObservableCounter("eelgrass.callers.trimmed", metric.WithDescription("Resting connections of callers that were closed for new ones."))
+	add()
 	_, err = e.Meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		if t := g.follower.state.Table(); t != nil {
 			o.ObserveInt64(revision, int64(t.Configuration.Revision))
 		}
 		o.ObserveFloat64(behind, g.lag.last().Seconds())
+		n, old := g.callers.Count()
+		o.ObserveInt64(callers, int64(n))
+		o.ObserveInt64(trimmed, int64(old))
 		for name, t := range g.follower.all() {
 			if at := t.Answered(); !at.IsZero() {
 				o.ObserveFloat64(age, time.Since(at).Seconds(), metric.WithAttributes(attribute.String("table", name)))
@@ -56,7 +63,7 @@
 			observeStatus(o, endpoints, load, p)
 		}
 		return nil
-	}, endpoints, load, revision, behind, age)
+	}, endpoints, load, revision, behind, age, callers, trimmed)
 	add()
 	return m, errors.Wrap(all, "make metrics")
 }
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -8,7 +8,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/listener"
 )
 
@@ -20,14 +19,17 @@
 	headerTimeout = 5 * time.Second
 )
 
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+}
+
 // serve opens a listener and serves on it, as one of the group, until the server is
 // closed.
-func serve(ctx context.Context, e *errgroup.Group, a netip.AddrPort, h http.Handler) (*http.Server, error) {
+func serve(ctx context.Context, e *errgroup.Group, a netip.AddrPort, s *http.Server) error {
 	l, err := listener.Open(ctx, a)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, ConnContext: forwarder.WithCaller}
 	e.Go(func() error { return listener.Serve(s, l) })
-	return s, nil
+	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -249,9 +249,16 @@
 	if err != nil {
 		return nil, err
 	}
+	most, err := listener.CallerBound(0)
+	if err != nil {
+		return nil, err
+	}
 	o := g.operatorServer()
 	s := &servers{
-		callers:     &http.Server{Handler: g.callerRoutes(), TLSConfig: outer, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeader},
+		callers: &http.Server{
+			Handler: g.callerRoutes(), TLSConfig: outer, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeader,
+			ConnState: (&listener.Trimmer{Most: most}).ConnState,
+		},
 		peers:       &http.Server{Handler: http.HandlerFunc(g.servePeer), TLSConfig: inner, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeader},
 		operators:   grpc.NewServer(append(o.Options(), grpc.Creds(authenticator.Credentials(outer)))...),
 		relay:       grpc.NewServer(append(relayer.ServerOptions(), grpc.Creds(authenticator.Credentials(inner)))...),
--- /dev/null
+++ b/internal/listener/trimmer_test.go
@@ -0,0 +1,66 @@
+package listener_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/eelgrassdrift/eelgrassdrift/internal/listener"
+)
+
+// get sends a request on a connection and returns the status, or 0.
+func get(c net.Conn, path string) int {
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path)
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	_ = r.Body.Close()
+	return r.StatusCode
+}
+
+// Callers that keep a connection for each try must not use up the descriptors, and
+// connections with a request in progress must outlast those that rest.
+func TestRestingCallersUseUpDescriptors(t *testing.T) {
+	const most, callers = 8, 100
+	trim := &listener.Trimmer{Most: most}
+	release := make(chan struct{})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Path == "/held" {
+			<-release
+		}
+	}))
+	s.Config.ConnState = trim.ConnState
+	s.Start()
+	defer s.Close()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", s.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	held := make(chan int, 1)
+	c := dial()
+	go func() { held <- get(c, "/held") }()
+	time.Sleep(50 * time.Millisecond)
+	for i := range callers {
+		if got := get(dial(), "/"); got != http.StatusOK {
+			t.Fatalf("caller %d got status %d", i, got)
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	if n, trimmed := trim.Count(); n > most || trimmed < callers-most {
+		t.Errorf("%d connections are open, %d were closed; the bound is %d", n, trimmed, most)
+	}
+	close(release)
+	if got := <-held; got != http.StatusOK {
+		t.Errorf("the request in progress got status %d", got)
+	}
+}
