forwarder: bound the bytes of answers that don't end

Cause: headers were read without a limit of bytes, also the interim ones in front of the final ones; bodies were bounded one by one, not in all. Change: 64 KiB for all headers of a response, 64 KiB of a refusal, 16 MiB on the wire of a body of 8 MiB; bodies above 32 KiB count against 64 MiB in all, also those of callers, who get 503 and a time to return.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -19,8 +19,12 @@
 	"github.com/eelgrassdrift/eelgrassdrift/retrier"
 )
 
-// maxAnswer bounds a response that is held until it is whole, in bytes.
-const maxAnswer = 8 << 20
+const (
+	// maxAnswer bounds a response that is held until it is whole, in bytes.
+	maxAnswer = 8 << 20
+	// maxRefusal bounds the body of a refusal that is read to keep the connection.
+	maxRefusal = 64 << 10
+)
 
 // attempt is one request to the endpoint of the call's lease.
 type attempt struct {
@@ -144,6 +148,8 @@
 
 // readHeaders reads the headers of the final response.
 func (a *attempt) readHeaders() (*http.Response, error) {
+	a.conn.limit(maxHead)
+	defer a.conn.unlimit()
 	for {
 		r, err := http.ReadResponse(a.conn.r, &http.Request{Method: a.call.method})
 		if err != nil || r.StatusCode >= http.StatusOK || r.StatusCode == http.StatusSwitchingProtocols {
@@ -162,7 +168,7 @@
 	case r.StatusCode < http.StatusBadRequest || r.Header.Get(a.call.front.Headers.NotRun) == "":
 		return v, false
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxAnswer)); err != nil {
+	if n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxRefusal)); err != nil || n == maxRefusal {
 		r.Close = true
 	}
 	v.err = &Error{Op: "attempt", Kind: classifier.Refused, Err: errors.Newf("the endpoint refused with status %d", r.StatusCode)}
@@ -179,13 +185,13 @@
 	if err := a.conn.SetReadDeadline(a.call.deadline); err != nil {
 		return broken("read response", err)
 	}
-	b, err := io.ReadAll(io.LimitReader(r.Body, maxAnswer+1))
+	// Chunks of one byte take several bytes each.
+	a.conn.limit(2 * maxAnswer)
+	defer a.conn.unlimit()
+	b, err := a.call.hold(r.Body, maxAnswer)
 	if err != nil {
 		return broken("read response", err)
 	}
-	if len(b) > maxAnswer {
-		return broken("read response", errors.Newf("more than %d bytes", maxAnswer))
-	}
 	v := verdict{outcome: retrier.Failed, answer: &answer{status: r.StatusCode, header: r.Header, body: b}}
 	if r.StatusCode >= http.StatusInternalServerError {
 		v.lease = dispatcher.Failed
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -55,6 +56,8 @@
 	// tries counts the attempts that ended.
 	tries  int
 	waited time.Duration
+	// held is the number of bytes that the front counts for the call.
+	held int64
 	// tried holds the ids of the endpoints that got the request.
 	tried []string
 	first time.Duration
@@ -126,6 +129,13 @@
 	return c.ctl.Flush()
 }
 
+// hold reads a body of at most limit bytes whole; it is held until the call ends.
+func (c *call) hold(r io.Reader, limit int64) ([]byte, error) {
+	b, n, err := c.front.bodies.read(r, limit)
+	c.held += n
+	return b, err
+}
+
 // copyHeader copies the headers that don't concern the connection. The server
 // must not guess a content type that the endpoint left out.
 func copyHeader(dst, src http.Header) {
--- /dev/null
+++ b/forwarder/endless_test.go
@@ -0,0 +1,120 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
+)
+
+// flood writes a beginning and then a part again and again until the other side
+// closes, and counts the bytes.
+func (b *backend) flood(c net.Conn, begin, part string) {
+	n, err := io.WriteString(c, begin)
+	part = strings.Repeat(part, 1+(32<<10)/len(part))
+	for err == nil {
+		b.flooded.Add(int64(n))
+		time.Sleep(time.Millisecond)
+		n, err = io.WriteString(c, part)
+	}
+}
+
+// endless are the bytes of answers that don't end, by the name of the step.
+func endless(name, id string) (begin, part string) {
+	own := "X-Id: " + id + "\r\nX-Signature: s\r\n"
+	switch name {
+	case "endless-line":
+		return "HTTP/1.1 200 OK\r\nX-Id: ", "x"
+	case "endless-headers":
+		return "HTTP/1.1 200 OK\r\n" + own, "X-More: x\r\n"
+	case "endless-interim":
+		return "", "HTTP/1.1 100 Continue\r\n\r\n"
+	case "endless-body":
+		return "HTTP/1.1 200 OK\r\n" + own + "\r\n", "x"
+	case "endless-length":
+		return "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 1099511627776\r\n\r\n", "x"
+	case "endless-chunks":
+		return "HTTP/1.1 200 OK\r\n" + own + "Transfer-Encoding: chunked\r\n\r\n", "10\r\n" + strings.Repeat("x", 16) + "\r\n"
+	case "endless-refusal":
+		return "HTTP/1.1 503 Busy\r\n" + own + "X-Not-Run: 1\r\n\r\n", "x"
+	case "endless-event":
+		return "HTTP/1.1 200 OK\r\n" + own + "Content-Type: text/event-stream\r\n\r\n", "data: x\n"
+	}
+	return "", ""
+}
+
+// Each script line is "ROUTE STEP AT-MOST", with the bytes in KiB that may be sent until
+// the gateway closes, of which some lie in the buffers of the system. It guards against answers without end that fill the memory of a gateway or
+// hold a caller until its deadline.
+func TestEndlessAnswers(t *testing.T) {
+	datadriven.RunTest(t, "testdata/endless", func(t *testing.T, d *datadriven.TestData) string {
+		var out strings.Builder
+		for line := range strings.Lines(d.Input) {
+			var route, step string
+			var most int64
+			if _, err := fmt.Sscan(line, &route, &step, &most); err != nil {
+				t.Fatal(err)
+			}
+			f, all := newFront(t, 1)
+			all[0].script = &script{steps: []string{step}}
+			s := httptest.NewServer(f)
+			began := time.Now()
+			got := ask(s.URL, route)
+			s.Close()
+			fmt.Fprintf(&out, "%s %s -> %s", route, step, got)
+			if n := all[0].flooded.Load() >> 10; n > most {
+				fmt.Fprintf(&out, ", %d KiB were taken", n)
+			}
+			if d := time.Since(began); d > 1500*time.Millisecond {
+				fmt.Fprintf(&out, ", only after %s", d)
+			}
+			out.WriteString("\n")
+		}
+		return out.String()
+	})
+}
+
+// Many answers without end at once must not take more than the front may hold.
+func TestEndlessAnswersTogether(t *testing.T) {
+	const callers = 40
+	f, all := newFront(t, 10)
+	for _, b := range all {
+		b.script = &script{steps: slicesOf("endless-body", callers)}
+	}
+	s := httptest.NewServer(f)
+	defer s.Close()
+	results := make(chan string, callers)
+	for range callers {
+		go func() { results <- ask(s.URL, "once") }()
+	}
+	most := int64(0)
+	for n := 0; n < callers; {
+		select {
+		case <-results:
+			n++
+		case <-time.After(time.Millisecond):
+			most = max(most, f.Held())
+		}
+	}
+	if most > forwarder.MaxHeld {
+		t.Errorf("%d bytes were held; the bound is %d", most, forwarder.MaxHeld)
+	}
+	if n := f.Held(); n != 0 {
+		t.Errorf("%d bytes are held after the last answer", n)
+	}
+}
+
+func slicesOf(s string, n int) []string {
+	l := make([]string, n)
+	for i := range l {
+		l[i] = s
+	}
+	return l
+}
--- a/forwarder/front.go
+++ b/forwarder/front.go
@@ -65,6 +65,7 @@
 	Log     zerolog.Logger
 
 	budgets sync.Map
+	bodies  holder
 	// deadlines holds the longest deadline of callers seen on each route.
 	deadlines sync.Map
 	stopping  atomic.Bool
@@ -91,6 +92,9 @@
 	}
 }
 
+// Held returns the number of bytes of bodies that are held.
+func (f *Front) Held() int64 { return f.bodies.used.Load() }
+
 func (f *Front) budget(service string) *retrier.Budget {
 	if b, ok := f.budgets.Load(service); ok {
 		return b.(*retrier.Budget)
@@ -117,6 +121,7 @@
 		c.fail(classifier.Of(err), "not-allowed", err)
 		return
 	}
+	defer func() { f.bodies.give(c.held) }()
 	if !c.readBody(q, t.Configuration.Limits.BodyBytes) {
 		return
 	}
--- a/forwarder/front_test.go
+++ b/forwarder/front_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,6 +59,8 @@
 	ran  int
 	// held gets the connection of a request whose step is "hold".
 	held func(net.Conn)
+	// flooded counts the bytes of answers without end.
+	flooded atomic.Int64
 }
 
 func newBackend(t *testing.T) *backend {
@@ -128,6 +131,10 @@
 	name, argument, _ := strings.Cut(step, " ")
 	n, _ := strconv.Atoi(argument)
 	out, keep := whole, true
+	if begin, part := endless(name, id); part != "" {
+		b.flood(c, begin, part)
+		return false
+	}
 	switch name {
 	case "refuse":
 		out = fmt.Sprintf(refusal, "503 Busy")
--- /dev/null
+++ b/forwarder/holder.go
@@ -0,0 +1,63 @@
+package forwarder
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// MaxHeld bounds the bodies that one front holds in all, in bytes.
+	MaxHeld = 64 << 20
+	// freeBody is the part of a body that is held without being counted, so that
+	// small bodies are never refused for the sake of large ones.
+	freeBody = 32 << 10
+)
+
+// errHeld ends the reading of a body for which there is no room.
+var errHeld = errors.New("too many bytes of bodies are held")
+
+// holder counts the bytes of bodies that are held until they are whole. The zero
+// value is ready.
+type holder struct{ used atomic.Int64 }
+
+// take counts n bytes and reports whether there is room for them.
+func (h *holder) take(n int64) bool {
+	if h.used.Add(n) <= MaxHeld {
+		return true
+	}
+	h.used.Add(-n)
+	return false
+}
+
+// read reads a body of at most limit bytes whole, and returns how many bytes are to
+// be given back with give once it is no longer held, also after an error.
+func (h *holder) read(r io.Reader, limit int64) (b []byte, held int64, err error) {
+	b = make([]byte, 0, bufferSize)
+	for {
+		if len(b) == cap(b) {
+			n := int64(cap(b))
+			if n >= freeBody {
+				// The old and the new bytes are there together while they are copied.
+				if !h.take(2 * n) {
+					return nil, held, errHeld
+				}
+				held += 2 * n
+			}
+			b = append(make([]byte, 0, 2*n), b...)
+		}
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		switch {
+		case int64(len(b)) > limit:
+			return nil, held, errors.Newf("more than %d bytes", limit)
+		case errors.Is(err, io.EOF):
+			return b, held, nil
+		case err != nil:
+			return nil, held, err
+		}
+	}
+}
+
+func (h *holder) give(n int64) { h.used.Add(-n) }
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -22,7 +22,11 @@
 	if limit <= 0 {
 		limit = defaultBody
 	}
-	b, err := io.ReadAll(http.MaxBytesReader(c.w, q.Body, limit))
+	b, err := c.hold(http.MaxBytesReader(c.w, q.Body, limit), limit)
+	if errors.Is(err, errHeld) {
+		c.refuse("no-room-for-body", startRetry)
+		return false
+	}
 	if err == nil {
 		c.body = b
 		return true
--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -42,6 +42,9 @@
 	// bufferSize is the size of the buffers of a connection; requests and events
 	// are smaller.
 	bufferSize = 2 << 10
+	// maxHead bounds the headers of a response with the interim ones before it, in
+	// bytes.
+	maxHead = 64 << 10
 )
 
 // connection is a connection to an endpoint.
@@ -49,6 +52,30 @@
 	net.Conn
 	r         *bufio.Reader
 	idleUntil time.Time
+	// limited tells that at most left further bytes are read from the network.
+	limited bool
+	left    int
+}
+
+// errLimit ends a response of which more bytes came than it may have.
+var errLimit = errors.New("the response doesn't end")
+
+// limit bounds the bytes that are read from now on; unlimit lifts the bound.
+func (c *connection) limit(n int) { c.limited, c.left = true, n }
+
+func (c *connection) unlimit() { c.limited = false }
+
+// Read implements io.Reader.
+func (c *connection) Read(b []byte) (int, error) {
+	if !c.limited {
+		return c.Conn.Read(b)
+	}
+	if c.left <= 0 {
+		return 0, errLimit
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.left)])
+	c.left -= n
+	return n, err
 }
 
 // Transport keeps idle connections to endpoints. The zero value is ready.
@@ -76,7 +103,9 @@
 	if err != nil {
 		return nil, &Error{Op: "connect to " + a.String(), Kind: classifier.Unavailable, Err: err}
 	}
-	return &connection{Conn: c, r: bufio.NewReaderSize(c, bufferSize)}, nil
+	made := &connection{Conn: c}
+	made.r = bufio.NewReaderSize(made, bufferSize)
+	return made, nil
 }
 
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -46,11 +46,14 @@
 	add()
 	trimmed, err := e.Meter.Int64ObservableCounter("eelgrass.callers.trimmed", metric.WithDescription("Resting connections of callers that were closed for new ones."))
 	add()
+	held, err := e.Meter.Int64ObservableGauge("eelgrass.bodies.held", metric.WithUnit("By"), metric.WithDescription("Bodies that are held until they are whole."))
+	add()
 	_, err = e.Meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		if t := g.follower.state.Table(); t != nil {
 			o.ObserveInt64(revision, int64(t.Configuration.Revision))
 		}
 		o.ObserveFloat64(behind, g.lag.last().Seconds())
+		o.ObserveInt64(held, g.front.Held())
 		n, old := g.callers.Count()
 		o.ObserveInt64(callers, int64(n))
 		o.ObserveInt64(trimmed, int64(old))
@@ -63,7 +66,7 @@
 			observeStatus(o, endpoints, load, p)
 		}
 		return nil
-	}, endpoints, load, revision, behind, age, callers, trimmed)
+	}, endpoints, load, revision, behind, age, callers, trimmed, held)
 	add()
 	return m, errors.Wrap(all, "make metrics")
 }
