--- /dev/null
+++ b/dispatcher/queue_test.go
@@ -0,0 +1,66 @@
+package dispatcher_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
+	"github.com/eelgrassdrift/eelgrassdrift/resolver"
+)
+
+// crowd returns a dispatcher with 88 full endpoints and n requests that wait.
+func crowd(t testing.TB, n int) *dispatcher.Dispatcher {
+	w := newWorld()
+	for i := range 88 {
+		w.run(fmt.Sprintf("endpoint e%d %c 1", i+1, 'a'+rune(i%3)))
+	}
+	r := dispatcher.Request{Service: "s", Match: resolver.Match{Route: &resolver.Route{Aim: 400 * time.Millisecond}}}
+	for r.Until = w.now; ; {
+		if _, err := w.d.Acquire(context.Background(), r); err != nil {
+			break
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	r.Until = w.now.Add(time.Minute)
+	for i := range n {
+		q := r
+		q.Prompt, q.Patient = i, i%2 == 0
+		go func() { _, _ = w.d.Acquire(ctx, q) }()
+	}
+	for w.d.Status()[0].Queued < n {
+		time.Sleep(time.Millisecond)
+	}
+	return w.d
+}
+
+// Reports of endpoints that are all full must not cost more for each request that
+// waits: 88 endpoints report 440 times a second, and at 5 ms each a gateway did
+// nothing else.
+func TestQueueTakesProcessor(t *testing.T) {
+	const updates, most = 200, 5
+	each := func(waiting int) time.Duration {
+		d := crowd(t, waiting)
+		began := time.Now()
+		for range updates {
+			d.Update()
+		}
+		return time.Since(began) / updates
+	}
+	if few, many := each(20), each(500); many > most*few {
+		t.Errorf("an update takes %s with 500 requests waiting and %s with 20", many, few)
+	}
+}
+
+func BenchmarkUpdate(b *testing.B) {
+	for _, n := range []int{0, 50, 200, 500} {
+		b.Run(fmt.Sprintf("waiting-%d", n), func(b *testing.B) {
+			d := crowd(b, n)
+			for b.Loop() {
+				d.Update()
+			}
+		})
+	}
+}
