observer: don't stay with a peer that is cut off itself

Cause: a reader stayed with a peer as long as it answered, also without news; an answer didn't tell how old the peer's own knowledge is. Change: a table tells when the platform last confirmed it, over peers too; a reader moves on from one without news that is older than 3 s. TestStalePeersAskEachOther failed before (a=1 for ever).

--- a/connector/table.go
+++ b/connector/table.go
@@ -22,6 +22,9 @@
 	// Full tells that Items holds all keys of the table, so that others are
 	// dropped; otherwise it holds what changed.
 	Full bool `json:"full,omitempty"`
+	// Age is how long ago the platform itself confirmed what the answer is made of;
+	// 0 where the platform gave it.
+	Age time.Duration `json:"age,omitempty"`
 }
 
 // Table is a topic of the platform's log that keeps the newest record of each key.
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -40,7 +40,7 @@
 	add()
 	behind, err := e.Meter.Float64ObservableGauge("eelgrass.process.lag", metric.WithUnit("s"), metric.WithDescription("How late the process runs what is due."))
 	add()
-	age, err := e.Meter.Float64ObservableGauge("eelgrass.table.age", metric.WithUnit("s"), metric.WithDescription("Time since a source answered for a table."))
+	age, err := e.Meter.Float64ObservableGauge("eelgrass.table.age", metric.WithUnit("s"), metric.WithDescription("Time since the platform confirmed a table, here or at a peer."))
 	add()
 	callers, err := e.Meter.Int64ObservableGauge("eelgrass.callers.open", metric.WithDescription("Open connections of callers."))
 	add()
@@ -58,7 +58,7 @@
 		o.ObserveInt64(callers, int64(n))
 		o.ObserveInt64(trimmed, int64(old))
 		for name, t := range g.follower.all() {
-			if at := t.Answered(); !at.IsZero() {
+			if at := t.Confirmed(); !at.IsZero() {
 				o.ObserveFloat64(age, time.Since(at).Seconds(), metric.WithAttributes(attribute.String("table", name)))
 			}
 		}
--- a/observer/exchange.go
+++ b/observer/exchange.go
@@ -74,8 +74,13 @@
 	_ = json.NewEncoder(w).Encode(c)
 }
 
-// Peers returns a source that asks one peer after the other; each failure moves
-// on to the next.
+// staleAge is the age from which a peer without news may be cut off from the
+// platform itself. A read that waits for news there takes up to 2.7 s.
+const staleAge = 3 * time.Second
+
+// Peers returns a source that asks one peer after the other. It moves on to the next
+// after a failure, and from a peer that has no news and is cut off itself: two such
+// peers would otherwise ask each other for as long as they are.
 func Peers(name string, client *http.Client, peers func() []netip.AddrPort) Source {
 	var turn atomic.Uint32
 	return Source{Name: "peers", Read: func(ctx context.Context, from uint64, wait time.Duration) (connector.Changes, error) {
@@ -85,7 +90,7 @@
 		}
 		a := l[int(turn.Load())%len(l)]
 		c, err := readPeer(ctx, client, a, name, from, wait)
-		if err != nil {
+		if err != nil || len(c.Items) == 0 && c.Age > staleAge {
 			turn.Add(1)
 		}
 		return c, err
--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -101,6 +101,46 @@
 	}
 }
 
+// Two gateways that are cut off must not go on asking each other while a third one
+// knows more.
+func TestStalePeersAskEachOther(t *testing.T) {
+	var own, stale, fresh observer.Table
+	old := connector.Changes{Items: []connector.Item{value("a", "1", 3)}, Next: 4, Age: 10 * time.Second}
+	own.Apply(old)
+	stale.Apply(old)
+	fresh.Apply(connector.Changes{Items: []connector.Item{value("a", "2", 5)}, Next: 6})
+	var peers []netip.AddrPort
+	for _, b := range []*observer.Table{&stale, &fresh} {
+		mux := http.NewServeMux()
+		mux.Handle("GET /v1/tables/{name}", &observer.Handler{Tables: map[string]*observer.Table{"t": b}})
+		s := httptest.NewServer(mux)
+		defer s.Close()
+		peers = append(peers, netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	f := &observer.Follower{
+		Name: "t", Table: &own, Log: zerolog.Nop(), Pace: time.Millisecond, Wait: time.Second,
+		Sources: []observer.Source{
+			{Name: "platform", Read: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
+				return connector.Changes{}, errors.New("away")
+			}},
+			observer.Peers("t", http.DefaultClient, func() []netip.AddrPort { return peers }),
+		},
+		Changed: func(items []connector.Item, _ bool) {
+			if len(items) > 0 {
+				cancel()
+			}
+		},
+	}
+	if err := f.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if c := content(&own); c != "a=2" {
+		t.Errorf("%s", c)
+	}
+}
+
 // clock is a State with a clock that a test moves.
 type clock struct {
 	now time.Time
--- a/observer/table.go
+++ b/observer/table.go
@@ -16,8 +16,9 @@
 	items map[string]connector.Item
 	// next is the offset from which the replica has seen nothing.
 	next uint64
-	// answered is when a source last answered.
-	answered time.Time
+	// confirmed is when the platform last answered for the table, here or at the
+	// peers from which it was read.
+	confirmed time.Time
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -48,7 +49,9 @@
 		}
 	}
 	t.next = max(t.next, c.Next)
-	t.answered = time.Now()
+	if at := time.Now().Add(-c.Age); at.After(t.confirmed) {
+		t.confirmed = at
+	}
 	if len(fresh) > 0 && t.changed != nil {
 		close(t.changed)
 		t.changed = nil
@@ -63,18 +66,19 @@
 	return t.next
 }
 
-// Answered returns when a source last answered; the zero time before the first.
-func (t *Table) Answered() time.Time {
+// Confirmed returns when the platform last answered for the table, here or at the
+// peers from which it was read; the zero time before the first read.
+func (t *Table) Confirmed() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.answered
+	return t.confirmed
 }
 
 // Since returns the items from the offset on, with all keys where from is 0.
 func (t *Table) Since(from uint64) connector.Changes {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := connector.Changes{Next: t.next}
+	c := connector.Changes{Next: t.next, Age: time.Since(t.confirmed)}
 	for _, i := range t.items {
 		if i.Offset >= from {
 			c.Items = append(c.Items, i)
