observer: ask the store once more on a new connection

Cause: connections that go silent are found by a time-out each. A read that waits finds the first after 2.7 s; the next one took another kept connection, to a peer or the store, that was silent too. Change: before the first failure counts, the kept connections are dropped and the store is asked again at once.

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -117,7 +117,7 @@
 		known := false
 		return (&observer.Follower{
 			Name: operatorTable, Table: &f.operators, Sources: f.sources(operatorTable, f.tables.Operators, agent),
-			Wait: decisionWait, Pace: decisionPace, Log: f.log,
+			Wait: decisionWait, Pace: decisionPace, Log: f.log, Reconnect: f.client.CloseIdleConnections,
 			Changed: func(fresh []connector.Item, _ bool) {
 				f.state.ApplyOperator(fresh, !known)
 				known = true
@@ -128,7 +128,7 @@
 	g.Go(func() error {
 		return (&observer.Follower{
 			Name: endpointTable, Table: &f.endpoints, Sources: f.sources(endpointTable, f.tables.Endpoints, agent),
-			Wait: listWait, Pace: pace, Log: f.log, Failed: f.state.ListFailed,
+			Wait: listWait, Pace: pace, Log: f.log, Reconnect: f.client.CloseIdleConnections, Failed: f.state.ListFailed,
 			Changed: func(fresh []connector.Item, first bool) {
 				f.state.ApplyEndpoints(fresh, first)
 				f.notify(len(fresh) > 0)
--- a/observer/follower.go
+++ b/observer/follower.go
@@ -49,6 +49,9 @@
 	// Changed is called with the fresh items of each answer, also when there are
 	// none; whole tells that the first source gave them.
 	Changed func(fresh []connector.Item, first bool)
+	// Reconnect drops the kept connections to the first source; it is called before
+	// the first failure counts, and the source is asked once more. It may be nil.
+	Reconnect func()
 	// Failed is called when the first source didn't answer; it may be nil.
 	Failed func()
 	Log    zerolog.Logger
@@ -86,6 +89,11 @@
 			wait = 0
 		}
 		c, err := f.read(ctx, s, wait)
+		if i == 0 && err != nil && !f.lost && f.Reconnect != nil && ctx.Err() == nil {
+			// The connection may have gone silent while new ones work.
+			f.Reconnect()
+			c, err = f.read(ctx, s, 0)
+		}
 		if ctx.Err() != nil {
 			return false
 		}
