forwarder: keep the route's time-out while a body is read

Cause: the time-out began to bind only after the body had been read whole. A caller whose body stopped coming waited without an answer, and held its request's memory, until it left. Change: the body is read until the deadline of the call, then the caller gets 408; the request has not run. TestBodyStopsComing failed before (no answer 0.5 s after a time-out of 2 s).

--- /dev/null
+++ b/forwarder/body_test.go
@@ -0,0 +1,41 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// A caller whose body stops coming must get its answer at the route's time-out, and
+// nothing of the request may reach an endpoint.
+func TestBodyStopsComing(t *testing.T) {
+	f, all := newFront(t, 1)
+	all[0].script = &script{}
+	s := httptest.NewServer(f)
+	defer s.Close()
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	began := time.Now()
+	timeout := configuration().Routes[0].Timeout
+	fmt.Fprintf(c, "POST /any/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nX-Id: id-1\r\nContent-Length: 9\r\n\r\nbody")
+	_ = c.SetReadDeadline(began.Add(timeout + 500*time.Millisecond))
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("after %s: %v", time.Since(began), err)
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	if r.StatusCode != http.StatusRequestTimeout {
+		t.Errorf("status %d", r.StatusCode)
+	}
+	if got := drain(all); got != "  sent 0 ran 0\n" {
+		t.Errorf("the endpoint saw %q", got)
+	}
+}
--- a/forwarder/front.go
+++ b/forwarder/front.go
@@ -122,10 +122,10 @@
 		return
 	}
 	defer func() { f.bodies.give(c.held) }()
+	c.prepare(q, m)
 	if !c.readBody(q, t.Configuration.Limits.BodyBytes) {
 		return
 	}
-	c.prepare(q, m)
 	ctx, cancel := context.WithDeadline(q.Context(), c.deadline)
 	defer cancel()
 	c.ctx, c.cancel = ctx, cancel
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -17,20 +18,35 @@
 	"github.com/eelgrassdrift/eelgrassdrift/retrier"
 )
 
-// readBody reads the body whole, since an attempt may have to be repeated.
+// readBody reads the body whole, since an attempt may have to be repeated. The
+// route's time-out holds for it as well.
 func (c *call) readBody(q *http.Request, limit int64) bool {
+	if q.Body == http.NoBody {
+		return true
+	}
 	if limit <= 0 {
 		limit = defaultBody
 	}
+	if err := c.ctl.SetReadDeadline(c.deadline); err != nil {
+		c.fail(classifier.Internal, "internal", err)
+		return false
+	}
 	b, err := c.hold(http.MaxBytesReader(c.w, q.Body, limit), limit)
 	if errors.Is(err, errHeld) {
 		c.refuse("no-room-for-body", startRetry)
 		return false
 	}
+	if err == nil {
+		err = c.ctl.SetReadDeadline(time.Time{})
+	}
 	if err == nil {
 		c.body = b
 		return true
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.answerStatus(http.StatusRequestTimeout, "body-too-late", err)
+		return false
+	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		c.answerStatus(http.StatusRequestEntityTooLarge, "body-too-large", err)
