direct, forwarder, retrier: divide the extra retries among the gateways there are

Cause: the retries beyond the ratio were divided by 8, with the words 'more than there are'; the grown sites have 16 to 23 gateways, which could save up two to three times what all may spend (rule BUDGET). Change: divided by 1.5 times the known gateways, at least by 8, as the share of a cold endpoint is.

--- a/forwarder/front.go
+++ b/forwarder/front.go
@@ -48,8 +48,8 @@
 type Budget struct {
 	// Share is the number of retries that each request adds.
 	Share float64
-	// Burst is the number of retries that one gateway may save up.
-	Burst float64
+	// Burst returns the number of retries that this gateway may save up now.
+	Burst func() float64
 }
 
 // Front is the handler of callers. Its fields are set before the first request.
@@ -99,7 +99,7 @@
 	if b, ok := f.budgets.Load(service); ok {
 		return b.(*retrier.Budget)
 	}
-	b, _ := f.budgets.LoadOrStore(service, &retrier.Budget{Share: f.Budget.Share, Burst: f.Budget.Burst})
+	b, _ := f.budgets.LoadOrStore(service, &retrier.Budget{Share: f.Budget.Share, BurstNow: f.Budget.Burst})
 	return b.(*retrier.Budget)
 }
 
--- a/forwarder/front_test.go
+++ b/forwarder/front_test.go
@@ -243,7 +243,7 @@
 	d.Update()
 	return &forwarder.Front{
 		Headers: headers, Dispatcher: d, Transport: &forwarder.Transport{}, Table: state.Table, Log: zerolog.Nop(),
-		Budget: forwarder.Budget{Share: 1, Burst: 100},
+		Budget: forwarder.Budget{Share: 1, Burst: func() float64 { return 100 }},
 	}, all
 }
 
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -41,9 +41,11 @@
 	// retryShare is the part of the retry ratio that gateways use; the rest covers
 	// windows that begin with saved retries.
 	retryShare = 0.9
-	// retryGateways is the number of gateways among which the extra retries are
-	// divided; more than there are, so that restarted ones keep within them.
-	retryGateways = 8
+	// minRetryGateways is the least number of gateways among which the extra retries
+	// are divided, and retryFactor how many times the known ones; more than there
+	// are, so that added and restarted ones keep within them.
+	minRetryGateways = 8
+	retryFactor      = 1.5
 	// graceShare is the part of the time to the deadline of a version in which an
 	// older one may be used; the rest is for requests that wait at an engine.
 	graceShare = 0.9
@@ -137,11 +139,16 @@
 	g.front = &forwarder.Front{
 		Headers: g.Platform.Headers, Dispatcher: g.dispatcher, Transport: &forwarder.Transport{},
 		Table: func() *resolver.Table { return g.follower.state.Table() }, Log: g.Log,
-		Budget: forwarder.Budget{Share: g.RetryRatio * retryShare, Burst: g.RetryExtra / retryGateways},
+		Budget: forwarder.Budget{Share: g.RetryRatio * retryShare, Burst: g.retryBurst},
 	}
 	return nil
 }
 
+// retryBurst is this gateway's part of the retries beyond the ratio.
+func (g *Gateway) retryBurst() float64 {
+	return g.RetryExtra / max(minRetryGateways, retryFactor*float64(g.follower.state.GatewayCount()))
+}
+
 // serve opens the listeners; the one of callers is the first of the servers.
 func (g *Gateway) serve(ctx context.Context, e *errgroup.Group) ([]*http.Server, error) {
 	ready := http.NewServeMux()
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -38,6 +38,9 @@
 	Share float64
 	// Burst is the largest number of retries saved up; 0 means DefaultBurst.
 	Burst float64
+	// BurstNow stands for Burst where it changes with the number of gateways that
+	// share it; it may be nil.
+	BurstNow func() float64
 	// Idle is the number of retries in a window with few requests; 0 means
 	// DefaultIdle, a negative value allows none.
 	Idle float64
@@ -63,15 +66,22 @@
 	b.roll()
 	b.offered.Add(1)
 	add := int64(orDefault(b.Share, DefaultShare) * unit)
-	most := int64(orDefault(b.Burst, DefaultBurst) * unit)
+	most := int64(b.burst() * unit)
 	for add > 0 {
 		old := b.saved.Load()
-		if old >= most || b.saved.CompareAndSwap(old, min(old+add, most)) {
+		if old == most || b.saved.CompareAndSwap(old, min(old+add, most)) {
 			return
 		}
 	}
 }
 
+func (b *Budget) burst() float64 {
+	if b.BurstNow != nil {
+		return b.BurstNow()
+	}
+	return orDefault(b.Burst, DefaultBurst)
+}
+
 // Spend takes one retry from the budget and reports whether there was one.
 func (b *Budget) Spend() bool {
 	for {
