--- a/forwarder/body_test.go
+++ b/forwarder/body_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -25,13 +24,13 @@
 	defer func() { _ = c.Close() }()
 	began := time.Now()
 	timeout := configuration().Routes[0].Timeout
-	fmt.Fprintf(c, "POST /any/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nX-Id: id-1\r\nContent-Length: 9\r\n\r\nbody")
+	_, _ = io.WriteString(c, "POST /any/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nX-Id: id-1\r\nContent-Length: 9\r\n\r\nbody")
 	_ = c.SetReadDeadline(began.Add(timeout + 500*time.Millisecond))
 	r, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		t.Fatalf("after %s: %v", time.Since(began), err)
 	}
-	_, _ = io.Copy(io.Discard, r.Body)
+	_ = r.Body.Close()
 	if r.StatusCode != http.StatusRequestTimeout {
 		t.Errorf("status %d", r.StatusCode)
 	}
--- a/internal/listener/trimmer_test.go
+++ b/internal/listener/trimmer_test.go
@@ -15,7 +15,7 @@
 // get sends a request on a connection and returns the status, or 0.
 func get(c net.Conn, path string) int {
 	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
-	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path)
+	_, _ = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path)
 	r, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return 0
@@ -30,7 +30,7 @@
 	const most, callers = 8, 100
 	trim := &listener.Trimmer{Most: most}
 	release := make(chan struct{})
-	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
 		if q.URL.Path == "/held" {
 			<-release
 		}
