--- /dev/null
+++ b/observer/gateways.go
@@ -0,0 +1,54 @@
+package observer
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/eelgrassdrift/eelgrassdrift/connector"
+)
+
+// ApplyGateways takes fresh records of gateways.
+func (s *State) ApplyGateways(items []connector.Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gateways == nil {
+		s.gateways = make(map[string]*Gateway)
+	}
+	for _, i := range items {
+		if i.Value == nil {
+			delete(s.gateways, i.Key)
+			continue
+		}
+		g, err := s.DecodeGateway(i.Value)
+		if err != nil {
+			s.Log.Warn().Str("gateway", i.Key).Err(err).Msg("gateway-record-refused")
+			continue
+		}
+		s.gateways[i.Key] = g
+	}
+}
+
+// GatewayCount returns the number of the known gateways.
+func (s *State) GatewayCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.gateways)
+}
+
+// Gateways returns the known gateways, those of the failure domain first.
+func (s *State) Gateways(domain string) []*Gateway {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var near, far []*Gateway
+	for _, g := range s.gateways {
+		if g.Domain == domain {
+			near = append(near, g)
+		} else {
+			far = append(far, g)
+		}
+	}
+	for _, l := range [][]*Gateway{near, far} {
+		slices.SortFunc(l, func(a, b *Gateway) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return append(near, far...)
+}
--- a/observer/state.go
+++ b/observer/state.go
@@ -1,10 +1,7 @@
 package observer
 
 import (
-	"maps"
 	"net/netip"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,10 +12,6 @@
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
 )
 
-// returnTime is how long an entry that lapsed while the platform was away may be
-// missing after the last failed read until the endpoint is taken as gone.
-const returnTime = 1900 * time.Millisecond
-
 // Decision is the meaning of one operator record; one field is set.
 type Decision struct {
 	Configuration *resolver.Configuration
@@ -205,142 +198,3 @@
 	}
 	return n
 }
-
-// ListFailed notes that the platform's list could not be read.
-func (s *State) ListFailed() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.outage, s.away = s.Now(), true
-}
-
-// ApplyEndpoints takes fresh entries of the list; first tells that the first source
-// gave them. Entries that were dropped until its first answer after an outage may have
-// lapsed because they couldn't be renewed, and are kept for a while. Later ones left.
-func (s *State) ApplyEndpoints(items []connector.Item, first bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	lapsed := s.away
-	if first {
-		s.away = false
-	}
-	if s.missing == nil {
-		s.missing = make(map[string]time.Time)
-	}
-	if len(items) == 0 && len(s.missing) == 0 && s.Endpoints() != nil {
-		return
-	}
-	m := s.copyEndpoints()
-	for _, i := range items {
-		delete(s.missing, i.Key)
-		if i.Value == nil {
-			if m[i.Key] != nil && lapsed {
-				s.missing[i.Key] = s.outage.Add(returnTime)
-				continue
-			}
-			s.remove(m, i.Key, "dropped")
-			continue
-		}
-		e, err := s.DecodeEndpoint(i.Key, i.Value)
-		if err != nil {
-			s.Log.Warn().Str("endpoint", i.Key).Uint64("offset", i.Offset).Err(err).Msg("endpoint-entry-refused")
-			delete(m, i.Key)
-			continue
-		}
-		s.logChange(m[i.Key], e)
-		m[i.Key] = e
-	}
-	s.expire(m)
-	s.endpoints.Store(&m)
-}
-
-// ExpireEndpoints removes the entries that didn't come back after an outage. It is
-// called several times a second where requests are placed, since reads of the list
-// are further apart.
-func (s *State) ExpireEndpoints() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.missing) == 0 {
-		return
-	}
-	m := s.copyEndpoints()
-	s.expire(m)
-	s.endpoints.Store(&m)
-}
-
-func (s *State) copyEndpoints() map[string]*Endpoint {
-	m := make(map[string]*Endpoint)
-	maps.Copy(m, s.Endpoints())
-	return m
-}
-
-func (s *State) expire(m map[string]*Endpoint) {
-	now := s.Now()
-	for k, until := range s.missing {
-		if !now.Before(until) {
-			delete(s.missing, k)
-			s.remove(m, k, "lapsed")
-		}
-	}
-}
-
-func (s *State) remove(m map[string]*Endpoint, id, reason string) {
-	if m[id] == nil {
-		return
-	}
-	delete(m, id)
-	s.Log.Info().Str("endpoint", id).Str("reason", reason).Msg("endpoint-gone")
-}
-
-func (s *State) logChange(old, e *Endpoint) {
-	if old != nil && old.Draining == e.Draining && old.Started.Equal(e.Started) && old.Address == e.Address {
-		return
-	}
-	s.Log.Info().Str("endpoint", e.ID).Str("service", e.Service).Str("address", e.Address.String()).
-		Str("failure-domain", e.Domain).Bool("draining", e.Draining).Bool("new", old == nil).Msg("endpoint-changed")
-}
-
-// ApplyGateways takes fresh records of gateways.
-func (s *State) ApplyGateways(items []connector.Item) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.gateways == nil {
-		s.gateways = make(map[string]*Gateway)
-	}
-	for _, i := range items {
-		if i.Value == nil {
-			delete(s.gateways, i.Key)
-			continue
-		}
-		g, err := s.DecodeGateway(i.Value)
-		if err != nil {
-			s.Log.Warn().Str("gateway", i.Key).Err(err).Msg("gateway-record-refused")
-			continue
-		}
-		s.gateways[i.Key] = g
-	}
-}
-
-// GatewayCount returns the number of the known gateways.
-func (s *State) GatewayCount() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.gateways)
-}
-
-// Gateways returns the known gateways, those of the failure domain first.
-func (s *State) Gateways(domain string) []*Gateway {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var near, far []*Gateway
-	for _, g := range s.gateways {
-		if g.Domain == domain {
-			near = append(near, g)
-		} else {
-			far = append(far, g)
-		}
-	}
-	for _, l := range [][]*Gateway{near, far} {
-		slices.SortFunc(l, func(a, b *Gateway) int { return strings.Compare(a.Name, b.Name) })
-	}
-	return append(near, far...)
-}
