--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -42,8 +42,10 @@
 	// windows that begin with saved retries.
 	retryShare = 0.9
 	// minRetryGateways is the least number of gateways among which the extra retries
-	// are divided, so that a few added ones keep within them before they are known.
+	// are divided, and retryFactor how many times the known ones; more than there
+	// are, so that added and restarted ones keep within them.
 	minRetryGateways = 8
+	retryFactor      = 1.5
 	// graceShare is the part of the time to the deadline of a version in which an
 	// older one may be used; the rest is for requests that wait at an engine.
 	graceShare = 0.9
@@ -144,7 +146,7 @@
 
 // retryBurst is this gateway's part of the retries beyond the ratio.
 func (g *Gateway) retryBurst() float64 {
-	return g.RetryExtra / float64(max(minRetryGateways, g.follower.state.GatewayCount()))
+	return g.RetryExtra / max(minRetryGateways, retryFactor*float64(g.follower.state.GatewayCount()))
 }
 
 // serve opens the listeners; the one of callers is the first of the servers.
--- a/internal/direct/retry_test.go
+++ b/internal/direct/retry_test.go
@@ -11,10 +11,10 @@
 )
 
 // The retries that all gateways may save up must stay within the extra ones, also at
-// sites with more gateways than the first ones had.
+// sites with more gateways than the first ones had and while some are being added.
 func TestRetriesOfManyGateways(t *testing.T) {
 	const extra = 236
-	for _, c := range []struct{ known, there int }{{1, 4}, {4, 8}, {16, 16}, {22, 22}, {640, 640}} {
+	for _, c := range []struct{ known, there int }{{1, 4}, {4, 8}, {16, 16}, {16, 22}, {640, 700}} {
 		s := &observer.State{
 			DecodeGateway: func(b []byte) (*observer.Gateway, error) { return &observer.Gateway{Name: string(b)}, nil },
 			Log:           zerolog.Nop(),
