forwarder: bound the idle connections to all endpoints together

Cause: 24 idle connections were kept to each endpoint, 7,200 at 300 endpoints, where a gateway has 8,192 descriptors. Change: 1,024 in all.

--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -37,8 +37,10 @@
 
 const (
 	probeCount = 3
-	// maxIdle bounds the idle connections to one endpoint.
-	maxIdle = 24
+	// maxIdle bounds the idle connections to one endpoint, and maxIdleAll those to all
+	// endpoints, which share the descriptors with callers.
+	maxIdle    = 24
+	maxIdleAll = 1024
 	// bufferSize is the size of the buffers of a connection; requests and events
 	// are smaller.
 	bufferSize = 2 << 10
@@ -82,6 +84,8 @@
 type Transport struct {
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*connection
+	// kept is the number of idle connections.
+	kept int
 }
 
 // open returns a connection; an idle one unless fresh is set. An error means that
@@ -137,6 +141,7 @@
 		}
 		c := l[len(l)-1]
 		t.idle[a] = l[:len(l)-1]
+		t.kept--
 		t.mu.Unlock()
 		if time.Now().Before(c.idleUntil) && c.isSilent() {
 			return c
@@ -181,11 +186,19 @@
 	if t.idle == nil {
 		t.idle = make(map[netip.AddrPort][]*connection)
 	}
-	if len(t.idle[a]) >= maxIdle {
+	if len(t.idle[a]) >= maxIdle || t.kept >= maxIdleAll {
 		_ = c.Close()
 		return
 	}
 	t.idle[a] = append(t.idle[a], c)
+	t.kept++
+}
+
+// Kept returns the number of idle connections.
+func (t *Transport) Kept() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.kept
 }
 
 // keepAliveTime reads the timeout of a Keep-Alive header.
@@ -211,6 +224,7 @@
 				kept = append(kept, c)
 			} else {
 				old = append(old, c)
+				t.kept--
 			}
 		}
 		if t.idle[a] = kept; len(kept) == 0 {
