forwarder: count the bytes of a body once

A body counted twice its size for as long as it was held, so 16 bodies of 2 MiB took all the room that there is for 32. Seen in a reading of the diff.

--- a/forwarder/holder.go
+++ b/forwarder/holder.go
@@ -37,15 +37,18 @@
 	b = make([]byte, 0, bufferSize)
 	for {
 		if len(b) == cap(b) {
-			n := int64(cap(b))
-			if n >= freeBody {
+			n := 2 * int64(cap(b))
+			if n > freeBody {
 				// The old and the new bytes are there together while they are copied.
-				if !h.take(2 * n) {
+				if !h.take(n) {
 					return nil, held, errHeld
 				}
-				held += 2 * n
 			}
-			b = append(make([]byte, 0, 2*n), b...)
+			b = append(make([]byte, 0, n), b...)
+			if n > freeBody {
+				h.give(held)
+				held = n
+			}
 		}
 		n, err := r.Read(b[len(b):cap(b)])
 		b = b[:len(b)+n]
