forwarder: keep the test of endless answers apart from the machine's speed

The test failed in 3 of 20 runs with the race detector on a machine with load 17 to 24: the bytes that a gateway may read of chunks of 16 bytes, or of one event, took longer than the route's time-out of 2 s, so the answer was 504 in place of 502. The product did what it should. Against the code before the bounds the test fails by its bytes as before.

--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
+	"github.com/eelgrassdrift/eelgrassdrift/resolver"
 )
 
 // flood writes a beginning and then a part again and again until the other side
@@ -50,10 +51,19 @@
 	return "", ""
 }
 
+// endlessTimeout is the time-out of the routes, far above what the bytes take that a
+// gateway may read, also on a busy machine.
+const endlessTimeout = 9 * time.Second
+
 // Each script line is "ROUTE STEP AT-MOST", with the bytes in KiB that may be sent until
 // the gateway closes, of which some lie in the buffers of the system. It guards against answers without end that fill the memory of a gateway or
 // hold a caller until its deadline.
 func TestEndlessAnswers(t *testing.T) {
+	c := configuration()
+	for i := range c.Routes {
+		c.Routes[i].Timeout = endlessTimeout
+	}
+	patient := resolver.New(c)
 	datadriven.RunTest(t, "testdata/endless", func(t *testing.T, d *datadriven.TestData) string {
 		var out strings.Builder
 		for line := range strings.Lines(d.Input) {
@@ -63,6 +73,7 @@
 				t.Fatal(err)
 			}
 			f, all := newFront(t, 1)
+			f.Table = func() *resolver.Table { return patient }
 			all[0].script = &script{steps: []string{step}}
 			s := httptest.NewServer(f)
 			began := time.Now()
@@ -72,7 +83,7 @@
 			if n := all[0].flooded.Load() >> 10; n > most {
 				fmt.Fprintf(&out, ", %d KiB were taken", n)
 			}
-			if d := time.Since(began); d > 1500*time.Millisecond {
+			if d := time.Since(began); d > endlessTimeout-time.Second {
 				fmt.Fprintf(&out, ", only after %s", d)
 			}
 			out.WriteString("\n")
