direct: give up a source of a chunk as early as before

Reverts the longer patience of agents: a failed try. To be tried: a patience that begins short and doubles with each source of a chunk that was passed by.

--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -27,19 +27,11 @@
 // Times and bounds of the spread between agents. A version of a few megabytes is
 // spread within seconds, so a source that is lost has to be given up in less.
 const (
-	chunkWait = 1500 * time.Millisecond
-	chunkPoll = 300 * time.Millisecond
-	// chunkStall is above the time in which the origin sends what a few dozen
-	// instances ask for at once.
-	chunkStall   = 1500 * time.Millisecond
-	chunkBackoff = 300 * time.Millisecond
-	// minPatience is the least time for which a source may be fetching a chunk before
-	// another one is asked as well, and patienceSpreads the part of it in times that
-	// one copy takes over the instance's link. A chunk that comes last in a sound
-	// spread takes two of them; instances that ask elsewhere sooner fill the links
-	// with chunks that others fetch already, and then no spread ends.
-	minPatience     = 1500 * time.Millisecond
-	patienceSpreads = 2.3
+	chunkWait     = 1500 * time.Millisecond
+	chunkPoll     = 300 * time.Millisecond
+	chunkStall    = 700 * time.Millisecond
+	chunkPatience = 1500 * time.Millisecond
+	chunkBackoff  = 300 * time.Millisecond
 	// sendTimeout frees the place of a chunk that goes to a peer that is gone.
 	sendTimeout = time.Second
 	// digestTimeout bounds the question for digests at one peer.
@@ -176,21 +168,13 @@
 	return l
 }
 
-// patience is how long a source may be fetching a chunk of versions of the size.
-func (a *Agent) patience(size int64) time.Duration {
-	if a.Link <= 0 {
-		return minPatience
-	}
-	return max(minPatience, time.Duration(patienceSpreads*float64(size)*bitsPerByte/a.Link*float64(time.Second)))
-}
-
-func (a *Agent) newFetcher(o *connector.Origin, domain string, size int64) *distributor.Fetcher {
+func (a *Agent) newFetcher(o *connector.Origin, domain string) *distributor.Fetcher {
 	return &distributor.Fetcher{
 		Self: a.self(), OriginRegion: recorder.Name(a.Regions[domain]), Store: a.chunks, Origin: o,
 		Client: distributor.NewClient(nil), Members: a.members, OriginParallel: originReads,
 		CrossRegionRate: a.RegionLink / bitsPerByte * regionShare,
 		Parallel:        peerChunks, LeadParallel: leadChunks,
-		Wait: chunkWait, Poll: chunkPoll, Stall: chunkStall, Patience: a.patience(size), MaxBackoff: chunkBackoff, Log: a.Log,
+		Wait: chunkWait, Poll: chunkPoll, Stall: chunkStall, Patience: chunkPatience, MaxBackoff: chunkBackoff, Log: a.Log,
 	}
 }
 
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -74,9 +74,8 @@
 	Digests func(ctx context.Context, model string, version int64) ([][32]byte, error)
 	// Pieces returns a client of an origin.
 	Pieces func(netip.AddrPort) *connector.Pieces
-	// NewFetcher returns a fetcher for an origin in the failure domain and versions of
-	// so many bytes.
-	NewFetcher func(o *connector.Origin, domain string, size int64) *distributor.Fetcher
+	// NewFetcher returns a fetcher for an origin in the failure domain.
+	NewFetcher func(o *connector.Origin, domain string) *distributor.Fetcher
 	Store      *distributor.Store
 	Log        zerolog.Logger
 
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -198,7 +198,7 @@
 			return nil, errors.New("no peers")
 		},
 		Pieces: b.origin.pieces, Store: store, Log: zerolog.Nop(),
-		NewFetcher: func(o *connector.Origin, _ string, _ int64) *distributor.Fetcher {
+		NewFetcher: func(o *connector.Origin, _ string) *distributor.Fetcher {
 			return &distributor.Fetcher{
 				Self: self, OriginRegion: "r", Store: store, Origin: o, Client: distributor.NewClient(nil),
 				Members: func() []distributor.Member { return []distributor.Member{self} }, MaxBackoff: 10 * time.Millisecond,
--- a/loader/spread.go
+++ b/loader/spread.go
@@ -35,7 +35,7 @@
 	if _, known := l.Reporter.State(); e == nil || !known {
 		return nil
 	}
-	l.connect(e, o)
+	l.connect(o)
 	n := l.target(e.Model)
 	if l.complete.Load() >= n.Version {
 		return nil
@@ -63,7 +63,7 @@
 }
 
 // connect makes the fetcher for the origin.
-func (l *Loader) connect(e *resolver.Engine, o *resolver.Service) {
+func (l *Loader) connect(o *resolver.Service) {
 	if l.origin == o.Origin {
 		return
 	}
@@ -78,7 +78,7 @@
 		}
 		b, err := p.Piece(ctx, i.model, i.version, i.number)
 		return io.NopCloser(bytes.NewReader(b)), int64(len(b)), err
-	}}, o.Domain, e.Size())
+	}}, o.Domain)
 }
 
 // learn returns the manifest of a version, from other instances or the origin; nil
@@ -127,7 +127,7 @@
 // keep makes the manifest of a version from the digests of its pieces. The digest
 // of the whole is that of the digests, as the origin names none.
 func (l *Loader) keep(e *resolver.Engine, version int64, digests [][32]byte) (*manifest, error) {
-	r := &recorder.Manifest{Format: recorder.Format, Size: e.Size(), ChunkSize: e.ChunkSize}
+	r := &recorder.Manifest{Format: recorder.Format, Size: int64(e.Chunks) * e.ChunkSize, ChunkSize: e.ChunkSize}
 	var all []byte
 	for _, d := range digests {
 		r.Chunks = append(r.Chunks, d)
@@ -245,7 +245,7 @@
 	if l.Link <= 0 {
 		return time.Duration(float64(l.Within) * spreadShare)
 	}
-	return time.Duration(float64(e.Size()) / l.Link * spreadFactor * float64(time.Second))
+	return time.Duration(float64(int64(e.Chunks)*e.ChunkSize) / l.Link * spreadFactor * float64(time.Second))
 }
 
 // drop frees the versions before the one that is served.
--- a/resolver/configuration.go
+++ b/resolver/configuration.go
@@ -106,9 +106,6 @@
 	Warm time.Duration
 }
 
-// Size returns the size of a version of the weights in bytes.
-func (e *Engine) Size() int64 { return int64(e.Chunks) * e.ChunkSize }
-
 // Account is a client account with its keys.
 type Account struct {
 	Name string
