forwarder: never count more bytes of bodies than there is room for

A refused part of a body was counted for a moment before it was taken back, so that the counter went above its bound and others could be refused by it.

--- a/forwarder/holder.go
+++ b/forwarder/holder.go
@@ -24,11 +24,15 @@
 
 // take counts n bytes and reports whether there is room for them.
 func (h *holder) take(n int64) bool {
-	if h.used.Add(n) <= MaxHeld {
-		return true
+	for {
+		old := h.used.Load()
+		if old+n > MaxHeld {
+			return false
+		}
+		if h.used.CompareAndSwap(old, old+n) {
+			return true
+		}
 	}
-	h.used.Add(-n)
-	return false
 }
 
 // read reads a body of at most limit bytes whole, and returns how many bytes are to
