observer, direct: keep configurations off the links between regions

Cause: the link between two regions was full. A process that failed once to read from its nearest gateway moved on in its list for good, so a few failures at the start (gateways that know nothing yet answer 503) spread the agents over the gateways of all regions; each of 58 agents then read each revision of 1,470 routes whole, over links of 28 Mbit/s. Class: traffic that grows with the number of processes on a link that requests share, without a bound.

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -1,12 +1,14 @@
 package direct
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -19,6 +21,10 @@
 	operatorTable = "operators"
 	endpointTable = "endpoints"
 	gatewayTable  = "gateways"
+	// outlineView is the table of operators' decisions without what only gateways
+	// need. Agents read it, so that the routes of a configuration don't take their
+	// links.
+	outlineView = "operators-outline"
 )
 
 // Times of following.
@@ -48,6 +54,8 @@
 	// self is the own address towards peers, which isn't asked.
 	self   netip.AddrPort
 	domain string
+	// regions holds the region of each failure domain.
+	regions map[string]string
 	// seeds are gateways that the settings name; they may be gone.
 	seeds []netip.AddrPort
 	// drain is the time after which a leaving endpoint must get no more requests.
@@ -58,20 +66,23 @@
 	log     zerolog.Logger
 
 	operators, endpoints, gateways observer.Table
+	outline                        *observer.View
 }
 
 func newFollower(p *Platform, store, self netip.AddrPort, domain string, regions map[string]string, log zerolog.Logger) *follower {
 	c := newClient()
-	return &follower{
-		tables: p.Tables(store, c), client: c, self: self, domain: domain, log: log,
+	f := &follower{
+		tables: p.Tables(store, c), client: c, self: self, domain: domain, regions: regions, log: log,
 		state: &observer.State{
 			Decode: p.Operator, DecodeEndpoint: p.Endpoint(regions), DecodeGateway: p.Gateway, Now: time.Now, Log: log,
 		},
 	}
+	f.outline = &observer.View{Table: &f.operators, Shorten: p.Outline}
+	return f
 }
 
 func (f *follower) handler() *observer.Handler {
-	return &observer.Handler{Tables: f.all()}
+	return &observer.Handler{Tables: f.all(), Views: map[string]*observer.View{outlineView: f.outline}}
 }
 
 // all returns the tables by name.
@@ -79,15 +90,22 @@
 	return map[string]*observer.Table{operatorTable: &f.operators, endpointTable: &f.endpoints, gatewayTable: &f.gateways}
 }
 
-// peers returns the addresses of the other gateways, near ones first. The seeds
-// help a process that starts while it doesn't reach the platform.
+// peers returns the addresses of the other gateways: those of the own failure domain
+// first, then those of the own region. Among equally near ones each process has an
+// order of its own, so that they share the reads. The seeds help a process that
+// starts while it doesn't reach the platform.
 func (f *follower) peers() []netip.AddrPort {
-	var l []netip.AddrPort
+	var near []ranked
 	for _, g := range f.state.Gateways(f.domain) {
 		if g.Address != f.self {
-			l = append(l, g.Address)
+			near = append(near, ranked{g.Address, f.distance(g.Domain), rankOf(f.self, g.Address)})
 		}
 	}
+	slices.SortFunc(near, ranked.compare)
+	var l []netip.AddrPort
+	for _, r := range near {
+		l = append(l, r.address)
+	}
 	for _, a := range f.seeds {
 		if a != f.self && !slices.Contains(l, a) {
 			l = append(l, a)
@@ -96,14 +114,52 @@
 	return l
 }
 
+// The distances of a gateway.
+const (
+	inDomain = iota
+	inRegion
+	inOtherRegion
+)
+
+func (f *follower) distance(domain string) int {
+	switch {
+	case domain == f.domain:
+		return inDomain
+	case f.regions[domain] == f.regions[f.domain]:
+		return inRegion
+	default:
+		return inOtherRegion
+	}
+}
+
+// ranked is a gateway with its place in the order of a process.
+type ranked struct {
+	address  netip.AddrPort
+	distance int
+	rank     uint64
+}
+
+func (r ranked) compare(o ranked) int {
+	return cmp.Or(cmp.Compare(r.distance, o.distance), cmp.Compare(r.rank, o.rank))
+}
+
+// rankOf is the rendezvous hash of a process and a gateway.
+func rankOf(self, gateway netip.AddrPort) uint64 {
+	return xxhash.Sum64String(self.String() + " " + gateway.String())
+}
+
 // sources returns where a table is read: a gateway asks the platform first, an
 // agent its gateways.
 func (f *follower) sources(name string, t *connector.Table, agent bool) []observer.Source {
-	l := []observer.Source{{Name: "platform", Read: t.Read}, observer.Peers(name, f.client, f.peers)}
-	if agent {
-		l[0], l[1] = l[1], l[0]
+	peers := &observer.PeerReader{Table: name, Client: f.client, Peers: f.peers, Now: time.Now}
+	platform := observer.Source{Name: "platform", Read: t.Read}
+	if !agent {
+		return []observer.Source{platform, {Name: "peers", Read: peers.Read}}
 	}
-	return l
+	if name == operatorTable {
+		peers.Table = outlineView
+	}
+	return []observer.Source{{Name: "peers", Read: peers.Read}, platform}
 }
 
 // run follows all tables until the context ends.
--- a/internal/direct/platform.go
+++ b/internal/direct/platform.go
@@ -17,6 +17,8 @@
 	Tables func(store netip.AddrPort, c *http.Client) Tables
 	// Operator decodes operator records.
 	Operator func(key string, value []byte) (*observer.Decision, error)
+	// Outline returns an operator record without what only gateways need of it.
+	Outline func(key string, value []byte) []byte
 	// Endpoint returns a decoder of entries, given the region of each failure
 	// domain.
 	Endpoint func(regions map[string]string) func(key string, value []byte) (*observer.Endpoint, error)
--- a/observer/exchange.go
+++ b/observer/exchange.go
@@ -1,24 +1,14 @@
 package observer
 
 import (
-	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
-	"net/netip"
 	"strconv"
-	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
-	"github.com/eelgrassdrift/eelgrassdrift/connector"
 )
 
-// maxExchange bounds the answer of a peer in bytes.
-const maxExchange = 32 << 20
-
 // Error is the error type of this package.
 type Error struct {
 	// Op is the operation that failed, for example "read operators from peer".
@@ -38,15 +28,22 @@
 // Class returns the kind of the failure.
 func (e *Error) Class() classifier.Kind { return e.Kind }
 
-// Handler serves tables to peers: GET /v1/tables/{name}?from=N&wait-ms=N.
+// Handler serves tables to peers: GET /v1/tables/{name}?from=N&wait-ms=N. Its fields
+// are set before the first request, and the maps aren't changed.
 type Handler struct {
-	// Tables are served by name; the map isn't changed.
+	// Tables are served by name.
 	Tables map[string]*Table
+	// Views are served by names of their own.
+	Views map[string]*View
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	t := h.Tables[q.PathValue("name")]
+	name := q.PathValue("name")
+	t, view := h.Tables[name], h.Views[name]
+	if view != nil {
+		t = view.Table
+	}
 	if t == nil {
 		http.NotFound(w, q)
 		return
@@ -69,52 +66,10 @@
 		http.Error(w, "nothing is known yet", http.StatusServiceUnavailable)
 		return
 	}
+	if view != nil {
+		view.shorten(c.Items)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	// A failed write shows at the peer, which asks the next one.
 	_ = json.NewEncoder(w).Encode(c)
 }
-
-// staleAge is the age from which a peer without news may be cut off from the
-// platform itself. A read that waits for news there takes up to 2.7 s.
-const staleAge = 3 * time.Second
-
-// Peers returns a source that asks one peer after the other. It moves on to the next
-// after a failure, and from a peer that has no news and is cut off itself: two such
-// peers would otherwise ask each other for as long as they are.
-func Peers(name string, client *http.Client, peers func() []netip.AddrPort) Source {
-	var turn atomic.Uint32
-	return Source{Name: "peers", Read: func(ctx context.Context, from uint64, wait time.Duration) (connector.Changes, error) {
-		l := peers()
-		if len(l) == 0 {
-			return connector.Changes{}, &Error{Op: "read " + name, Kind: classifier.Unavailable, Err: errors.New("no peer is known")}
-		}
-		a := l[int(turn.Load())%len(l)]
-		c, err := readPeer(ctx, client, a, name, from, wait)
-		if err != nil || len(c.Items) == 0 && c.Age > staleAge {
-			turn.Add(1)
-		}
-		return c, err
-	}}
-}
-
-func readPeer(ctx context.Context, client *http.Client, a netip.AddrPort, name string, from uint64, wait time.Duration) (connector.Changes, error) {
-	var c connector.Changes
-	op := "read " + name + " from " + a.String()
-	url := fmt.Sprintf("http://%s/v1/tables/%s?from=%d&wait-ms=%d", a, name, from, wait.Milliseconds())
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return c, &Error{Op: op, Kind: classifier.Invalid, Err: err}
-	}
-	r, err := client.Do(q)
-	if err != nil {
-		return c, &Error{Op: op, Kind: classifier.Unavailable, Err: err}
-	}
-	defer func() { _ = r.Body.Close() }()
-	if r.StatusCode != http.StatusOK {
-		return c, &Error{Op: op, Kind: classifier.Unavailable, Err: errors.Newf("status %d", r.StatusCode)}
-	}
-	if err := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxExchange)).Decode(&c); err != nil {
-		return c, &Error{Op: op, Kind: classifier.Invalid, Err: err}
-	}
-	return c, nil
-}
--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -82,7 +82,7 @@
 			{Name: "platform", Read: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
 				return connector.Changes{}, errors.New("away")
 			}},
-			observer.Peers("t", http.DefaultClient, func() []netip.AddrPort { return []netip.AddrPort{address} }),
+			{Name: "peers", Read: (&observer.PeerReader{Table: "t", Client: http.DefaultClient, Peers: func() []netip.AddrPort { return []netip.AddrPort{address} }, Now: time.Now}).Read},
 		},
 		Failed: func() { failed.Add(1) },
 		Changed: func(fresh []connector.Item, first bool) {
@@ -125,7 +125,7 @@
 			{Name: "platform", Read: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
 				return connector.Changes{}, errors.New("away")
 			}},
-			observer.Peers("t", http.DefaultClient, func() []netip.AddrPort { return peers }),
+			{Name: "peers", Read: (&observer.PeerReader{Table: "t", Client: http.DefaultClient, Peers: func() []netip.AddrPort { return peers }, Now: time.Now}).Read},
 		},
 		Changed: func(items []connector.Item, _ bool) {
 			if len(items) > 0 {
--- /dev/null
+++ b/observer/view.go
@@ -0,0 +1,40 @@
+package observer
+
+import (
+	"sync"
+
+	"github.com/eelgrassdrift/eelgrassdrift/connector"
+)
+
+// View is a table with shorter records, for readers that need a part of each. Its
+// fields are set before the first read.
+type View struct {
+	Table *Table
+	// Shorten returns the part of a record that the view has.
+	Shorten func(key string, value []byte) []byte
+
+	mu sync.Mutex
+	// short holds the newest shortened record of each key.
+	short map[string]connector.Item
+}
+
+// shorten replaces the values of items of the table.
+func (v *View) shorten(items []connector.Item) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.short == nil {
+		v.short = make(map[string]connector.Item)
+	}
+	for i, o := range items {
+		if o.Value == nil {
+			delete(v.short, o.Key)
+			continue
+		}
+		s, ok := v.short[o.Key]
+		if !ok || s.Offset != o.Offset {
+			s = connector.Item{Key: o.Key, Value: v.Shorten(o.Key, o.Value), Offset: o.Offset}
+			v.short[o.Key] = s
+		}
+		items[i] = s
+	}
+}
