loader, platform: see the bytes of a piece while they arrive

Cause: a piece was read to its end before the fetcher saw its first byte. The fetcher's time-out for silence (0.7 s, then 2.8 s) so became a bound on the whole read; an origin that serves dozens of agents takes longer, and what it had sent was thrown away and asked for again. Class: a time-out on the whole where progress should be watched, so that retries under load hold up what they wait for.

Change: connector.Pieces opens a piece in place of returning its bytes; the fetcher's watch sees them as they come.

--- a/connector/table.go
+++ b/connector/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 )
 
@@ -73,6 +74,7 @@
 type Pieces struct {
 	// Manifest returns the SHA-256 digests of the pieces of a version.
 	Manifest func(ctx context.Context, model string, version int64) ([][32]byte, error)
-	// Piece returns the bytes of a piece.
-	Piece func(ctx context.Context, model string, version int64, piece int) ([]byte, error)
+	// Piece opens a piece; the caller closes and verifies it. The size is -1 where
+	// it is not known.
+	Piece func(ctx context.Context, model string, version int64, piece int) (body io.ReadCloser, size int64, err error)
 }
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -1,8 +1,10 @@
 package loader_test
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
+	"io"
 	"net/netip"
 	"slices"
 	"sync"
@@ -141,7 +143,7 @@
 			}
 			return d, nil
 		},
-		Piece: func(_ context.Context, _ string, version int64, n int) ([]byte, error) {
+		Piece: func(_ context.Context, _ string, version int64, n int) (io.ReadCloser, int64, error) {
 			o.mu.Lock()
 			defer o.mu.Unlock()
 			o.sent++
@@ -150,7 +152,7 @@
 				o.spoilt--
 				b[5]++
 			}
-			return b, nil
+			return io.NopCloser(bytes.NewReader(b)), int64(len(b)), nil
 		},
 	}
 }
--- a/loader/spread.go
+++ b/loader/spread.go
@@ -1,7 +1,6 @@
 package loader
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"slices"
@@ -76,8 +75,7 @@
 		if !ok {
 			return nil, 0, fail("fetch piece", classifier.NotFound, errors.Newf("no piece has the digest %s", d))
 		}
-		b, err := p.Piece(ctx, i.model, i.version, i.number)
-		return io.NopCloser(bytes.NewReader(b)), int64(len(b)), err
+		return p.Piece(ctx, i.model, i.version, i.number)
 	}}, o.Domain)
 }
 
