relayer: don't turn to the gateway that was just lost

It chose by a counter, l[n%len(l)], in a list that changes: the gateway that it attached to first had told it more gateways, so the same address stood at the next index.

Ruled out: the diallers of the exchange (the stream to the other failure domain was open 2 s after the frozen one ended), the machine's speed (the agent waited for two whole time-outs of 6 s).

Change: the address that was tried the longest ago is next, one that was never tried first.

--- a/relayer/client.go
+++ b/relayer/client.go
@@ -88,9 +88,9 @@
 
 // keep attaches to one gateway after the other until the context ends.
 func (c *Client) keep(ctx context.Context, fallback bool, candidates func() []netip.AddrPort) error {
-	for n := 0; ctx.Err() == nil; n++ {
-		if l := candidates(); len(l) > 0 {
-			a := l[n%len(l)]
+	var r rotation
+	for ctx.Err() == nil {
+		if a, ok := r.next(candidates()); ok {
 			err := c.attach(ctx, a, fallback)
 			if ctx.Err() != nil {
 				break
--- /dev/null
+++ b/relayer/rotation.go
@@ -0,0 +1,31 @@
+package relayer
+
+import "net/netip"
+
+// rotation chooses among addresses whose list changes between the tries. The zero
+// value has tried none.
+type rotation struct {
+	tries int
+	// tried holds the number of the last try of each address.
+	tried map[netip.AddrPort]int
+}
+
+// next returns the first address that was not tried yet, else the one that was
+// tried the longest ago; false where the list is empty.
+func (r *rotation) next(l []netip.AddrPort) (netip.AddrPort, bool) {
+	if len(l) == 0 {
+		return netip.AddrPort{}, false
+	}
+	best := l[0]
+	for _, a := range l {
+		if r.tried[a] < r.tried[best] {
+			best = a
+		}
+	}
+	if r.tried == nil {
+		r.tried = make(map[netip.AddrPort]int)
+	}
+	r.tries++
+	r.tried[best] = r.tries
+	return best, true
+}
