relayer: don't forget an endpoint that a peer vouches for

When it woke, gateway-0 took the peer's word on the endpoint first, dropped it because it still held the agent's own report, and then saw the end of the agent's old stream and removed the endpoint. A peer repeats an unchanged status after 30 s only. Class: messages that cross, of which the later one is dropped and not asked for again.

Change: what a peer tells is kept beside the own report, and counts once the agent's stream ends, unless the own report is the newer one.

Test: TestAgentThatMovedIsNotForgotten; before, the endpoint was gone after "detached here" and after "the old one detached".

--- a/relayer/endpoints.go
+++ b/relayer/endpoints.go
@@ -52,6 +52,8 @@
 type carried struct {
 	// streams are those that reported it.
 	streams map[uint64]bool
+	// status is what was reported last.
+	status *relayv1.EndpointStatus
 	// share is its share of the sums as reported last.
 	share share
 }
@@ -78,7 +80,9 @@
 	}
 	old := e.own[s.Instance]
 	e.own[s.Instance] = s
-	delete(e.carried, s.Instance)
+	if c := e.carried[s.Instance]; c != nil && !c.outlasts(s) {
+		delete(e.carried, s.Instance)
+	}
 	e.mu.Unlock()
 	e.Update(s)
 	if old == nil || old.BootId != s.BootId || !sameStatus(old, s) || differs(old.Limit, s.Limit) {
@@ -90,7 +94,14 @@
 // changes reach the peers with the answers of the endpoint.
 func differs(a, b uint32) bool { return 4*max(a, b) > 5*min(a, b) }
 
-// Detach ends the status of an agent whose stream ended.
+// outlasts reports whether a peer may know the endpoint longer than an attached agent
+// that reported s: the agent has attached to the peer since, or it has restarted.
+func (c *carried) outlasts(s *relayv1.EndpointStatus) bool {
+	return c.status.BootId != s.BootId || c.status.Sequence > s.Sequence
+}
+
+// Detach ends the status of an agent whose stream ended. A gateway that was frozen
+// hears from a peer that the agent is attached there before it sees that end.
 func (e *Endpoints) Detach(instance, boot string) {
 	e.mu.Lock()
 	s := e.own[instance]
@@ -99,8 +110,12 @@
 		return
 	}
 	delete(e.own, instance)
+	c := e.carried[instance]
 	e.mu.Unlock()
 	e.Remove(instance)
+	if c != nil && c.outlasts(s) {
+		e.Update(c.status)
+	}
 	e.changed.Fire()
 }
 
@@ -128,10 +143,6 @@
 // wakes the streams to other failure domains.
 func (e *Endpoints) learn(stream uint64, s *relayv1.EndpointStatus) {
 	e.mu.Lock()
-	if _, ok := e.own[s.Instance]; ok {
-		e.mu.Unlock()
-		return
-	}
 	if e.carried == nil {
 		e.carried = make(map[string]*carried)
 	}
@@ -146,7 +157,16 @@
 	if changed {
 		c.share = n
 	}
+	c.status = s
+	o := e.own[s.Instance]
+	attached := o != nil
+	if attached && !c.outlasts(o) {
+		delete(e.carried, s.Instance)
+	}
 	e.mu.Unlock()
+	if attached {
+		return
+	}
 	e.Update(s)
 	if changed {
 		e.learned.Fire()
@@ -156,7 +176,7 @@
 // detached ends an endpoint whose agent left a peer.
 func (e *Endpoints) detached(stream uint64, instance string) {
 	e.mu.Lock()
-	gone := e.drop(stream, instance)
+	gone := e.drop(stream, instance) && e.own[instance] == nil
 	e.mu.Unlock()
 	if gone {
 		e.Remove(instance)
@@ -192,7 +212,7 @@
 		e.mu.Lock()
 		var gone []string
 		for i := range e.carried {
-			if e.drop(stream, i) {
+			if e.drop(stream, i) && e.own[i] == nil {
 				gone = append(gone, i)
 			}
 		}
