observer, watcher: end a read of a table at a silence, not at 0.7 s

Cause: a read had to be whole 0.7 s after its wait. A record of 1,400 routes over a link that is in use takes longer; what had come was thrown away and asked for again.

Change: an answer has to begin in time and not to pause for 0.7 s; the whole has 2 s beyond the wait. A source that is slow, not silent, isn't asked a second time before the peers.

--- /dev/null
+++ b/internal/watcher/watcher_test.go
@@ -0,0 +1,76 @@
+package watcher_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/eelgrassdrift/eelgrassdrift/internal/watcher"
+)
+
+// body gives a byte after each of its pauses.
+type body []time.Duration
+
+func (b *body) Read(p []byte) (int, error) {
+	if len(*b) == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep((*b)[0])
+	*b = (*b)[1:]
+	p[0] = 'x'
+	return 1, nil
+}
+
+// A bound on the whole of an answer ends one that is only slow; none at all lets a
+// connection that went silent hold its reader.
+func TestOnlySilenceEndsACall(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		name   string
+		begin  time.Duration
+		pauses body
+		want   error
+	}{
+		{"long, with pauses that are short", 900 * ms, body{90 * ms, 90 * ms, 90 * ms, 90 * ms, 90 * ms}, nil},
+		{"late", 1100 * ms, nil, watcher.ErrSilent},
+		{"silent in the middle", 900 * ms, body{90 * ms, 110 * ms}, watcher.ErrSilent},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := watcher.With(t.Context(), time.Second, 100*ms)
+				defer stop()
+				time.Sleep(c.begin)
+				r := watcher.Reader(ctx, &c.pauses)
+				b, err := io.ReadAll(r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if got := context.Cause(ctx); !errors.Is(got, c.want) {
+					t.Errorf("%q, then %v", b, got)
+				}
+			})
+		})
+	}
+}
+
+// A call that is over must not be ended later, and one without a watch is read as it is.
+func TestCallThatIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := watcher.With(t.Context(), time.Second, time.Second)
+		r := watcher.Reader(ctx, strings.NewReader("x"))
+		stop()
+		_, _ = io.ReadAll(r)
+		time.Sleep(time.Minute)
+		if err := context.Cause(ctx); !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+		b, err := io.ReadAll(watcher.Reader(t.Context(), strings.NewReader("x")))
+		if string(b) != "x" || err != nil {
+			t.Errorf("%q %v", b, err)
+		}
+	})
+}
--- a/observer/follower.go
+++ b/observer/follower.go
@@ -4,17 +4,23 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/watcher"
 )
 
 // Times of a Follower.
 const (
-	// answerMargin is the time beyond the asked wait in which a source has to
-	// answer. A store that is 60 times slower than its usual 4 ms still does.
+	// answerMargin is the time beyond the asked wait in which an answer has to
+	// begin, and the longest pause in it. A store that is 60 times slower than its
+	// usual 4 ms still keeps it.
 	answerMargin = 700 * time.Millisecond
+	// answerTime bounds a whole answer beyond the asked wait. A large configuration
+	// over a link that is in use takes a second; after that a peer may be nearer.
+	answerTime = 2 * time.Second
 	// peerWait bounds a wait at a source other than the first, so that the
 	// sources take turns while the first is away.
 	peerWait = 300 * time.Millisecond
@@ -27,6 +33,9 @@
 	failurePause = 150 * time.Millisecond
 )
 
+// errSlow marks the failure of a read whose answer came, but too slowly.
+var errSlow = errors.New("the answer takes too long")
+
 // Source is a place from which a table can be read.
 type Source struct {
 	// Name is used in log lines.
@@ -89,8 +98,9 @@
 			wait = 0
 		}
 		c, err := f.read(ctx, s, wait)
-		if i == 0 && err != nil && !f.lost && f.Reconnect != nil && ctx.Err() == nil {
-			// The connection may have gone silent while new ones work.
+		if i == 0 && err != nil && !errors.Is(err, errSlow) && !f.lost && f.Reconnect != nil && ctx.Err() == nil {
+			// The connection may have gone silent while new ones work. One that is
+			// slow is no better when it is new.
 			f.Reconnect()
 			c, err = f.read(ctx, s, 0)
 		}
@@ -109,9 +119,15 @@
 }
 
 func (f *Follower) read(ctx context.Context, s Source, wait time.Duration) (connector.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
+	whole, cancel := context.WithTimeout(ctx, wait+answerTime)
 	defer cancel()
-	return s.Read(ctx, f.Table.Next(), wait)
+	ctx, stop := watcher.With(whole, wait+answerMargin, answerMargin)
+	defer stop()
+	c, err := s.Read(ctx, f.Table.Next(), wait)
+	if err != nil && errors.Is(whole.Err(), context.DeadlineExceeded) {
+		err = errors.Mark(err, errSlow)
+	}
+	return c, err
 }
 
 // note logs when the first source is lost or regained.
--- a/observer/peers.go
+++ b/observer/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/watcher"
 )
 
 const (
@@ -109,7 +111,8 @@
 	if o.StatusCode != http.StatusOK {
 		return c, &Error{Op: op, Kind: classifier.Unavailable, Err: errors.Newf("status %d", o.StatusCode)}
 	}
-	if err := json.NewDecoder(http.MaxBytesReader(nil, o.Body, maxExchange)).Decode(&c); err != nil {
+	b := io.LimitReader(watcher.Reader(ctx, o.Body), maxExchange)
+	if err := json.NewDecoder(b).Decode(&c); err != nil {
 		return c, &Error{Op: op, Kind: classifier.Invalid, Err: err}
 	}
 	return c, nil
