dispatcher: look for a demand without a slot in one place

isUnplaced and noteUnplaced searched the same list by two copies of the loop. No change of behaviour; TestDispatcher, TestWaiting as before.

--- a/dispatcher/grant.go
+++ b/dispatcher/grant.go
@@ -69,30 +69,31 @@
 }
 
 // isUnplaced reports whether a request that asks for no more has found no slot in
-// this pass. Requests that exclude endpoints are judged one by one; they are few.
+// this pass.
 func (p *pool) isUnplaced(r Request) bool {
-	if len(r.Exclude) > 0 {
-		return false
-	}
-	m := r.demand()
-	for i := range p.unplaced {
-		if p.unplaced[i].demand == m {
-			return r.Prompt >= p.unplaced[i].prompt
-		}
-	}
-	return false
+	u := p.findUnplaced(r)
+	return u != nil && r.Prompt >= u.prompt
 }
 
 func (p *pool) noteUnplaced(r Request) {
+	if u := p.findUnplaced(r); u != nil {
+		u.prompt = min(u.prompt, r.Prompt)
+	} else if len(r.Exclude) == 0 {
+		p.unplaced = append(p.unplaced, unplaced{r.demand(), r.Prompt})
+	}
+}
+
+// findUnplaced returns the entry of what a request asks for, or nil. Requests that
+// exclude endpoints are judged one by one; they are few.
+func (p *pool) findUnplaced(r Request) *unplaced {
 	if len(r.Exclude) > 0 {
-		return
+		return nil
 	}
 	m := r.demand()
 	for i := range p.unplaced {
 		if p.unplaced[i].demand == m {
-			p.unplaced[i].prompt = min(p.unplaced[i].prompt, r.Prompt)
-			return
+			return &p.unplaced[i]
 		}
 	}
-	p.unplaced = append(p.unplaced, unplaced{m, r.Prompt})
+	return nil
 }
