observer: count gateways without a lock

The retry budget and the dispatcher ask for the number of known gateways at each request; it changed under the lock of the state. A counter kept at changes does. No change of behaviour.

--- a/observer/gateways.go
+++ b/observer/gateways.go
@@ -26,14 +26,12 @@
 		}
 		s.gateways[i.Key] = g
 	}
+	s.gatewayCount.Store(int64(len(s.gateways)))
 }
 
-// GatewayCount returns the number of the known gateways.
-func (s *State) GatewayCount() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.gateways)
-}
+// GatewayCount returns the number of the known gateways. It takes no lock, as it is
+// read for each request.
+func (s *State) GatewayCount() int { return int(s.gatewayCount.Load()) }
 
 // Gateways returns the known gateways, those of the failure domain first.
 func (s *State) Gateways(domain string) []*Gateway {
--- a/observer/state.go
+++ b/observer/state.go
@@ -68,6 +68,8 @@
 
 	table     atomic.Pointer[resolver.Table]
 	endpoints atomic.Pointer[map[string]*Endpoint]
+	// gatewayCount is the length of gateways.
+	gatewayCount atomic.Int64
 
 	mu        sync.Mutex
 	evacuated map[string]string
