observer: tell a silent source from a slow one in the log

source-lost said only that a context had ended. It now says 'nothing arrived in time' or 'the answer takes too long', which tells the two causes of a late change apart (CONFIG).

--- a/observer/follower.go
+++ b/observer/follower.go
@@ -124,8 +124,12 @@
 	ctx, stop := watcher.With(whole, wait+answerMargin, answerMargin)
 	defer stop()
 	c, err := s.Read(ctx, f.Table.Next(), wait)
-	if err != nil && errors.Is(whole.Err(), context.DeadlineExceeded) {
-		err = errors.Mark(err, errSlow)
+	switch {
+	case err == nil:
+	case errors.Is(whole.Err(), context.DeadlineExceeded):
+		err = errors.Mark(errors.Wrap(err, errSlow.Error()), errSlow)
+	case errors.Is(context.Cause(ctx), watcher.ErrSilent):
+		err = errors.Wrap(err, watcher.ErrSilent.Error())
 	}
 	return c, err
 }
