--- a/admitter/account.go
+++ b/admitter/account.go
@@ -84,3 +84,38 @@
 	w.queued = false
 	return w
 }
+
+// account returns the state of the account with its present limits.
+func (a *Admitter) account(l *recorder.ClientAccount, now time.Time) *account {
+	c := a.accounts[l.Name]
+	if c == nil {
+		if a.accounts == nil {
+			a.accounts = map[recorder.Name]*account{}
+		}
+		if len(a.accounts) >= maxIdle {
+			a.forgetIdle(now)
+		}
+		c = &account{name: l.Name, limits: l}
+		a.accounts[l.Name] = c
+	}
+	if c.limits != l {
+		before := c.weight()
+		c.limits = l
+		if len(c.queue) > 0 {
+			a.weights += c.weight() - before
+		}
+		if c.active {
+			a.active += c.weight() - before
+		}
+	}
+	return c
+}
+
+// forgetIdle drops the accounts without requests for a minute.
+func (a *Admitter) forgetIdle(now time.Time) {
+	for n, c := range a.accounts {
+		if c.inFlight == 0 && len(c.queue) == 0 && now.Sub(c.filled) > time.Minute {
+			delete(a.accounts, n)
+		}
+	}
+}
