observer: wait for news at stale peers too

Found by reading the change: while the platform is away all peers are stale, so all were passed over and then asked with no wait. Only a peer that gave no answer is asked without a wait now.

--- a/observer/peers.go
+++ b/observer/peers.go
@@ -47,6 +47,8 @@
 type penalty struct {
 	until time.Time
 	fails int
+	// gone tells that the peer gave no answer; otherwise its answer was stale.
+	gone bool
 }
 
 // Read has the meaning of connector.Table.Read.
@@ -55,13 +57,14 @@
 	if !ok {
 		return connector.Changes{}, &Error{Op: "read " + r.Table, Kind: classifier.Unavailable, Err: errors.New("no peer is known")}
 	}
-	if _, failed := r.failed[a]; failed {
-		// A peer that is still gone holds the read for no longer than it must.
+	if r.failed[a].gone {
+		// A peer that is still gone holds the read for no longer than it must. One
+		// that is stale isn't read more often than others.
 		wait = 0
 	}
 	c, err := r.ask(ctx, a, from, wait)
 	if err != nil || len(c.Items) == 0 && c.Age > staleAge {
-		r.fail(a)
+		r.fail(a, err != nil)
 	} else {
 		delete(r.failed, a)
 	}
@@ -85,13 +88,14 @@
 	return first, first.IsValid()
 }
 
-func (r *PeerReader) fail(a netip.AddrPort) {
+func (r *PeerReader) fail(a netip.AddrPort, gone bool) {
 	if r.failed == nil {
 		r.failed = make(map[netip.AddrPort]penalty)
 	}
 	p := r.failed[a]
 	p.until = r.Now().Add(min(maxPenalty, minPenalty<<min(p.fails, 16)))
 	p.fails++
+	p.gone = gone
 	r.failed[a] = p
 }
 
--- a/observer/peers_test.go
+++ b/observer/peers_test.go
@@ -25,7 +25,7 @@
 func newPeer(t *testing.T) *peer {
 	t.Helper()
 	p := new(peer)
-	p.table.Apply(connector.Changes{Items: []connector.Item{value("a", "long", 1)}, Next: 2})
+	p.table.Apply(connector.Changes{Items: []connector.Item{value("a", "long", 1)}, Next: 2, Age: time.Hour})
 	mux := http.NewServeMux()
 	mux.Handle("GET /v1/tables/{name}", &observer.Handler{
 		Tables: map[string]*observer.Table{"t": &p.table},
@@ -83,6 +83,30 @@
 	}
 }
 
+// While the platform is away all peers are stale. Readers that don't wait for news there
+// would ask them as fast as they can.
+func TestStalePeersAreNotPolled(t *testing.T) {
+	stale := connector.Changes{Items: []connector.Item{value("a", "1", 3)}, Next: 4, Age: 10 * time.Second}
+	a, b := newPeer(t), newPeer(t)
+	a.table.Apply(stale)
+	b.table.Apply(stale)
+	now := time.Now()
+	r := &observer.PeerReader{
+		Table: "t", Client: http.DefaultClient, Now: func() time.Time { return now },
+		Peers: func() []netip.AddrPort { return []netip.AddrPort{a.address, b.address} },
+	}
+	const reads, wait = 6, 30 * time.Millisecond
+	began := time.Now()
+	for range reads {
+		if _, err := r.Read(context.Background(), 4, wait); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if d := time.Since(began); d < reads*wait {
+		t.Errorf("%d reads in %s", reads, d)
+	}
+}
+
 // Readers of a view must not get the whole of each record, nor make it anew for each
 // of them.
 func TestViewIsShort(t *testing.T) {
