dispatcher: use engines of the older version as long as before

Cause: a rollout loads engines in turns up to its deadline; without the older version from 8 s on, what is not loaded yet is missing for a second, and 2 in 100 requests are refused.

Conclusion: the margin has to come from what waits at the single engine, which its agent knows, not from the time.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -17,10 +17,6 @@
 	// spareGateways is the least number of gateways among which the rate of a cold
 	// endpoint is divided, so that gateways added or restarted keep within it.
 	spareGateways = 8
-	// busyRead is the part of its reading rate that an engine reaches while it writes.
-	busyRead = 0.5
-	// maxWaitShare bounds the part of Grace that is left for the wait at an engine.
-	maxWaitShare = 0.25
 	// spareFactor is how many times the known gateways there may be.
 	spareFactor = 2
 )
@@ -131,21 +127,10 @@
 	p.coldShare = d.coldShare(s.ColdRate)
 	if s.Engine != nil {
 		p.model, p.readRate = s.Engine.Model, s.Engine.ReadRate
-		p.named = d.State.Target(p.model, d.grace(s.Engine))
+		p.named = d.State.Target(p.model, d.Grace)
 	}
 }
 
-// grace is how long after the naming of a version a request may still be placed at an
-// engine with an older one. The engine reads one prompt after the other, between the
-// tokens that it writes, so the request may wait there for one of each gateway.
-func (d *Dispatcher) grace(e *resolver.Engine) time.Duration {
-	if e.ReadRate <= 0 {
-		return d.Grace
-	}
-	wait := time.Duration(float64(d.gateways) * e.Prompt / (e.ReadRate * busyRead) * float64(time.Second))
-	return d.Grace - min(wait, time.Duration(float64(d.Grace)*maxWaitShare))
-}
-
 // coldShare is the part of this gateway of what a cold endpoint bears. It is safe
 // without agreement, as it is divided among more gateways than there are.
 func (d *Dispatcher) coldShare(rate float64) int {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -52,7 +52,7 @@
 	return i
 }
 
-// decodeOperator reads "config [PROMPT]", "out DOMAIN" and "version N".
+// decodeOperator reads "config", "out DOMAIN" and "version N".
 func decodeOperator(_ string, v []byte) (*observer.Decision, error) {
 	f := strings.Fields(string(v))
 	switch f[0] {
@@ -62,12 +62,8 @@
 		n, _ := strconv.ParseInt(f[1], 10, 64)
 		return &observer.Decision{Target: &observer.Target{Model: "m", Version: n}}, nil
 	}
-	prompt := 0.0
-	if len(f) > 1 {
-		prompt, _ = strconv.ParseFloat(f[1], 64)
-	}
 	return &observer.Decision{Configuration: &resolver.Configuration{Revision: 1, Services: []resolver.Service{
-		{Name: "s", ColdRate: 38, ColdTime: 3 * time.Second, Engine: &resolver.Engine{Model: "m", Slots: 4, ReadRate: 10_000, Prompt: prompt}},
+		{Name: "s", ColdRate: 38, ColdTime: 3 * time.Second, Engine: &resolver.Engine{Model: "m", Slots: 4, ReadRate: 10_000}},
 	}}}, nil
 }
 
