observer: date new versions by when they may have been written

Cause: the grace period of an older version began when a gateway learned of the newer one. A gateway that was frozen while the version was named learned of it up to 3.6 s late (trace in the issue: frozen 15.4 to 19.0 s, version named at 18.0 s, older version used up to 26.28 s with a limit of 26.0 s). The same holds for a read that failed meanwhile, and for a suspended machine, whose monotonic clock stands still.

Change: internal/timekeeper has a clock that goes on in a suspension (CLOCK_BOOTTIME) and a monitor that records pauses of the process. A Follower dates the items of a read: when they arrived if the table was confirmed right before the read and the process was not paused, else the start of the pause or the last confirmation. The grace period counts from that date.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -35,7 +35,7 @@
 		Decode: decodeOperator, DecodeEndpoint: decodeEndpoint, DecodeGateway: decodeGateway,
 		Now: func() time.Time { return w.now }, Log: zerolog.Nop(),
 	}
-	w.state.ApplyOperator([]connector.Item{w.item("config", "config")}, true)
+	w.state.ApplyOperator([]connector.Item{w.item("config", "config")}, time.Time{})
 	w.d = &dispatcher.Dispatcher{
 		Domain: "a", Region: "ra", State: w.state, Now: w.state.Now,
 		Cold: dispatcher.ColdLimit{Factor: 1.5, Slack: 5}, Grace: 7 * time.Second,
@@ -102,7 +102,7 @@
 	case "gone":
 		w.state.ApplyEndpoints([]connector.Item{w.item(f[1], "")}, true)
 	case "operator":
-		w.state.ApplyOperator([]connector.Item{w.item(f[1], strings.Join(f[2:], " "))}, false)
+		w.state.ApplyOperator([]connector.Item{w.item(f[1], strings.Join(f[2:], " "))}, w.now)
 	case "gateways":
 		n, _ := strconv.Atoi(f[1])
 		for i := range n {
--- a/forwarder/handler_test.go
+++ b/forwarder/handler_test.go
@@ -228,7 +228,7 @@
 		},
 		Now: time.Now, Log: zerolog.Nop(),
 	}
-	state.ApplyOperator([]connector.Item{{Key: "c", Value: []byte("x")}}, true)
+	state.ApplyOperator([]connector.Item{{Key: "c", Value: []byte("x")}}, time.Time{})
 	var all []*fakeEndpoint
 	var items []connector.Item
 	for i := range backends {
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 )
 
@@ -62,6 +63,8 @@
 	// drain is the time after which a draining endpoint must get no more requests.
 	drain time.Duration
 	state *observer.State
+	// earliest is Follower.Earliest of the operator table; it may be nil.
+	earliest func(from time.Time) time.Time
 	// changed is called after each change of the state; it may be nil.
 	changed func()
 	log     zerolog.Logger
@@ -75,7 +78,7 @@
 	f := &follower{
 		tables: p.Tables(store, c), client: c, self: self, domain: domain, regions: regions, log: log,
 		state: &observer.State{
-			Decode: p.DecodeOperator, DecodeEndpoint: p.EndpointDecoder(regions), DecodeGateway: p.DecodeGateway, Now: time.Now, Log: log,
+			Decode: p.DecodeOperator, DecodeEndpoint: p.EndpointDecoder(regions), DecodeGateway: p.DecodeGateway, Now: timekeeper.Now, Log: log,
 		},
 	}
 	f.outline = &observer.View{Table: &f.operators, Shorten: p.Outline}
@@ -171,14 +174,13 @@
 	}
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
-		known := false
 		return (&observer.Follower{
 			Name: operatorTable, Table: &f.operators, Sources: f.sources(operatorTable, f.tables.Operators, agent),
 			Wait: decisionWait, Pace: decisionInterval, Log: f.log, Reconnect: f.client.CloseIdleConnections,
-			Changed: func(fresh []connector.Item, _ bool) {
-				f.state.ApplyOperator(fresh, !known)
-				known = true
-				f.notify(len(fresh) > 0)
+			Earliest: f.earliest,
+			Changed: func(u observer.Update) {
+				f.state.ApplyOperator(u.Fresh, u.After)
+				f.notify(len(u.Fresh) > 0)
 			},
 		}).Run(ctx)
 	})
@@ -186,9 +188,9 @@
 		return (&observer.Follower{
 			Name: endpointTable, Table: &f.endpoints, Sources: f.sources(endpointTable, f.tables.Endpoints, agent),
 			Wait: listWait, Pace: interval, Log: f.log, Reconnect: f.client.CloseIdleConnections, Failed: f.state.ListFailed,
-			Changed: func(fresh []connector.Item, first bool) {
-				f.state.ApplyEndpoints(fresh, first)
-				f.notify(len(fresh) > 0)
+			Changed: func(u observer.Update) {
+				f.state.ApplyEndpoints(u.Fresh, u.First)
+				f.notify(len(u.Fresh) > 0)
 			},
 		}).Run(ctx)
 	})
@@ -196,7 +198,7 @@
 		return (&observer.Follower{
 			Name: gatewayTable, Table: &f.gateways, Sources: f.sources(gatewayTable, f.tables.Gateways, agent),
 			Wait: gatewayWait, Pace: gatewayInterval, Log: f.log,
-			Changed: func(fresh []connector.Item, _ bool) { f.state.ApplyGateways(fresh) },
+			Changed: func(u observer.Update) { f.state.ApplyGateways(u.Fresh) },
 		}).Run(ctx)
 	})
 	return g.Wait()
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/internal/listener"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
 )
@@ -26,6 +27,9 @@
 	// updateInterval is the interval of the dispatcher's updates for changes that only
 	// time brings about, such as expired endpoints.
 	updateInterval = 50 * time.Millisecond
+	// maxBeatInterval is the time between two updates from which the process counts as
+	// paused. A loaded process is late by less.
+	maxBeatInterval = 300 * time.Millisecond
 	// sweepInterval is the interval at which idle connections are closed.
 	sweepInterval = time.Second
 	// announceRetryInterval is the pause between attempts to write the gateway record.
@@ -89,6 +93,7 @@
 	dispatcher *dispatcher.Dispatcher
 	front      *forwarder.Handler
 	lag        lag
+	monitor    timekeeper.Monitor
 	callers    listener.Trimmer
 	stopping   atomic.Bool
 }
@@ -136,6 +141,8 @@
 	g.callers.Most = most
 	g.follower = newFollower(g.Platform, g.Store, g.Peers, g.Domain, g.Regions, g.Log)
 	g.follower.drain, g.follower.seeds = g.Drain, g.Seeds
+	g.monitor.Limit = maxBeatInterval
+	g.follower.earliest = g.monitor.Earliest
 	g.dispatcher = &dispatcher.Dispatcher{
 		Domain: g.Domain, Region: g.Region, Cold: g.Cold, State: g.follower.state,
 		Grace: time.Duration(float64(g.MaxVersionDelay) * graceShare),
@@ -216,6 +223,7 @@
 		case due := <-t.C:
 			g.lag.observe(time.Since(due), g.Log)
 		}
+		g.monitor.Beat()
 		g.follower.state.ExpireEndpoints()
 		g.dispatcher.Update()
 		if time.Since(swept) > sweepInterval {
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -11,6 +10,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 )
 
 // metrics holds the instruments that a gateway records per request.
@@ -59,7 +59,7 @@
 		o.ObserveInt64(trimmed, int64(old))
 		for name, t := range g.follower.all() {
 			if at := t.Confirmed(); !at.IsZero() {
-				o.ObserveFloat64(age, time.Since(at).Seconds(), metric.WithAttributes(attribute.String("table", name)))
+				o.ObserveFloat64(age, timekeeper.Now().Sub(at).Seconds(), metric.WithAttributes(attribute.String("table", name)))
 			}
 		}
 		for _, p := range g.dispatcher.Status() {
--- /dev/null
+++ b/internal/timekeeper/timekeeper_test.go
@@ -0,0 +1,51 @@
+package timekeeper_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
+)
+
+// An event that a process notices after a pause must not be dated after the pause: a
+// permission that is counted from it would end late by the length of the pause.
+func TestEarliest(t *testing.T) {
+	start := time.Unix(1000, 0)
+	now := start
+	m := &timekeeper.Monitor{Limit: 200 * time.Millisecond, Now: func() time.Time { return now }}
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	beatUntil := func(d time.Duration) {
+		for ; now.Before(at(d)); now = now.Add(50 * time.Millisecond) {
+			m.Beat()
+		}
+		m.Beat()
+	}
+	beatUntil(2 * time.Second)
+	if got := m.Earliest(at(time.Second)); !got.Equal(now) {
+		t.Errorf("without a pause: %s after the start, want %s", got.Sub(start), now.Sub(start))
+	}
+	now = at(5600 * time.Millisecond)
+	if got := m.Earliest(at(time.Second)); !got.Equal(at(2 * time.Second)) {
+		t.Errorf("before the first beat after the pause: %s after the start, want 2s", got.Sub(start))
+	}
+	beatUntil(6 * time.Second)
+	if got := m.Earliest(at(time.Second)); !got.Equal(at(2 * time.Second)) {
+		t.Errorf("after the pause: %s after the start, want 2s", got.Sub(start))
+	}
+	if got := m.Earliest(at(5700 * time.Millisecond)); !got.Equal(now) {
+		t.Errorf("waited since the pause: %s after the start, want %s", got.Sub(start), now.Sub(start))
+	}
+	now = at(8 * time.Second)
+	if got := m.Earliest(at(time.Second)); !got.Equal(at(2 * time.Second)) {
+		t.Errorf("after a second pause: %s after the start, want 2s", got.Sub(start))
+	}
+}
+
+// The clock must advance with the time of day, whatever it counts from.
+func TestNow(t *testing.T) {
+	before := timekeeper.Now()
+	time.Sleep(20 * time.Millisecond)
+	if d := timekeeper.Now().Sub(before); d < 20*time.Millisecond || d > 5*time.Second {
+		t.Errorf("%s passed, want 20 ms", d)
+	}
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -17,6 +17,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/distributor"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
@@ -208,18 +209,18 @@
 func (l *Loader) awaitLoadStart(ctx context.Context, model string, version int64) bool {
 	n := l.target(model)
 	if n.Version != version {
-		n.Learned = time.Time{}
+		n.Since = time.Time{}
 	}
-	start := time.Now()
+	start := timekeeper.Now()
 	if s, _ := l.Reporter.State(); s.Versions[model] > 0 {
 		place := place(l.State.Endpoints(), l.Service, l.Address)
-		start = loadStart(place, n.Learned, start, l.MaxVersionDelay)
+		start = loadStart(place, n.Since, start, l.MaxVersionDelay)
 	}
-	for time.Now().Before(start) && l.complete.Load() == version {
+	for timekeeper.Now().Before(start) && l.complete.Load() == version {
 		if s, ok := l.Reporter.State(); !ok || s.Versions[model] == 0 {
 			break
 		}
-		_ = sleeper.Sleep(ctx, min(pollInterval, time.Until(start)))
+		_ = sleeper.Sleep(ctx, min(pollInterval, start.Sub(timekeeper.Now())))
 	}
 	return ctx.Err() == nil && l.complete.Load() == version
 }
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -18,6 +18,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/distributor"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 	"github.com/eelgrassdrift/eelgrassdrift/loader"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
@@ -220,7 +221,7 @@
 
 func (f *fixture) put(key, v string) {
 	f.offset++
-	f.state.ApplyOperator([]connector.Item{{Key: key, Value: []byte(v), Offset: f.offset}}, false)
+	f.state.ApplyOperator([]connector.Item{{Key: key, Value: []byte(v), Offset: f.offset}}, timekeeper.Now())
 }
 
 // run runs the loader until the engine has loaded the version.
--- a/loader/spread.go
+++ b/loader/spread.go
@@ -12,6 +12,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
@@ -214,7 +215,7 @@
 	defer cancel()
 	go func() {
 		for work.Err() == nil {
-			if newer := l.target(e.Model); newer.Version > n.Version && l.yields(e, n, time.Now()) {
+			if newer := l.target(e.Model); newer.Version > n.Version && l.yields(e, n, timekeeper.Now()) {
 				l.Log.Info().Int64("version", n.Version).Int64("newer", newer.Version).Msg("version-superseded")
 				cancel()
 			}
@@ -235,11 +236,11 @@
 // no longer meet it. The decision must be the same on all instances, because a version
 // that half of them abandon is served by none.
 func (l *Loader) yields(e *resolver.Engine, n observer.TargetVersions, now time.Time) bool {
-	if n.Learned.IsZero() {
+	if n.Since.IsZero() {
 		return true
 	}
-	due := n.Learned.Add(l.MaxVersionDelay)
-	return now.Add(l.distributionTime(e)+e.Warm+drainEstimate).Before(due) || now.After(n.Learned.Add(time.Duration(float64(l.MaxVersionDelay)*abandonShare)))
+	due := n.Since.Add(l.MaxVersionDelay)
+	return now.Add(l.distributionTime(e)+e.Warm+drainEstimate).Before(due) || now.After(n.Since.Add(time.Duration(float64(l.MaxVersionDelay)*abandonShare)))
 }
 
 // distributionTime estimates the time until all instances have fetched a version.
--- a/loader/turn_test.go
+++ b/loader/turn_test.go
@@ -63,7 +63,7 @@
 		after time.Duration
 		want  bool
 	}{{time.Second, true}, {2 * time.Second, true}, {4 * time.Second, false}, {7 * time.Second, false}, {7300 * time.Millisecond, true}} {
-		if got := l.yields(e, observer.TargetVersions{Version: 2, Learned: learned}, learned.Add(c.after)); got != c.want {
+		if got := l.yields(e, observer.TargetVersions{Version: 2, Since: learned}, learned.Add(c.after)); got != c.want {
 			t.Errorf("after %s: yields %t", c.after, got)
 		}
 	}
--- a/observer/follower.go
+++ b/observer/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/watcher"
 )
 
@@ -30,6 +31,9 @@
 	// emptyTableDelay is the pause after a read of an empty table, as it is before the
 	// platform's first record; such a read returns without waiting for a change.
 	emptyTableDelay = 500 * time.Millisecond
+	// maxConfirmedAge is the age of a table up to which it is up to date when a read
+	// begins. It allows for the pause between two reads.
+	maxConfirmedAge = 300 * time.Millisecond
 	// failedRoundDelay is the pause after no source has responded.
 	failedRoundDelay = 150 * time.Millisecond
 )
@@ -46,6 +50,17 @@
 	Read func(ctx context.Context, from uint64, wait time.Duration) (connector.Changes, error)
 }
 
+// Update is the result of a successful read.
+type Update struct {
+	// Fresh holds the new items; there may be none.
+	Fresh []connector.Item
+	// First reports whether the items come from the first source.
+	First bool
+	// After is a time before which none of the items was written, on the clock of
+	// package timekeeper; the zero time if they come from the first read of the table.
+	After time.Time
+}
+
 // Follower keeps a Table up to date from its sources.
 type Follower struct {
 	// Name is the name of the table in log lines.
@@ -57,9 +72,12 @@
 	Wait time.Duration
 	// Pace is the pause after each successful read.
 	Pace time.Duration
-	// Changed is called with the new items of each successful read, even if there are
-	// none; first reports whether they come from the first source.
-	Changed func(fresh []connector.Item, first bool)
+	// Changed is called after each successful read.
+	Changed func(Update)
+	// Earliest returns the earliest time of an event that the process began to wait for
+	// at the given time and notices now; see timekeeper.Monitor. If it is nil, items
+	// count as written when they arrive.
+	Earliest func(from time.Time) time.Time
 	// Reconnect closes the idle connections to the first source. It is called when a
 	// read from that source fails, unless the response was only slow or the source is
 	// already lost; the read is then repeated, and only its second failure counts. It
@@ -101,11 +119,13 @@
 		} else if f.firstSourceLost {
 			wait = 0
 		}
+		began := timekeeper.Now()
 		c, err := f.read(ctx, s, wait)
 		if i == 0 && err != nil && !errors.Is(err, errResponseTimeout) && !f.firstSourceLost && f.Reconnect != nil && ctx.Err() == nil {
 			// The connection may be dead while a new one would work. If the response was
 			// only slow, a new connection would not help.
 			f.Reconnect()
+			began = timekeeper.Now()
 			c, err = f.read(ctx, s, 0)
 		}
 		if ctx.Err() != nil {
@@ -115,13 +135,33 @@
 			f.recordFirstSource(s, err)
 		}
 		if err == nil {
-			f.Changed(f.Table.Apply(c), i == 0)
+			f.apply(c, i == 0, began)
 			return true
 		}
 	}
 	return false
 }
 
+// apply merges the result of a read that began at the given time into the table.
+//
+// A source sends a new item at once to a reader that waits for it. If the table was up
+// to date when the read began, the items were therefore written when the response
+// arrived. Otherwise they may have been written at any time since the table was last
+// confirmed, for example during an outage of the source or before a late read.
+func (f *Follower) apply(c connector.Changes, first bool, began time.Time) {
+	arrived := timekeeper.Now()
+	if f.Earliest != nil {
+		arrived = f.Earliest(began)
+	}
+	u := Update{First: first, After: f.Table.Confirmed()}
+	isCurrent := first && began.Sub(u.After) < maxConfirmedAge
+	if !u.After.IsZero() && (isCurrent || f.Earliest == nil) {
+		u.After = arrived
+	}
+	u.Fresh = f.Table.Apply(c, arrived)
+	f.Changed(u)
+}
+
 func (f *Follower) read(ctx context.Context, s Source, wait time.Duration) (connector.Changes, error) {
 	whole, cancel := context.WithTimeout(ctx, wait+responseTimeout)
 	defer cancel()
--- /dev/null
+++ b/observer/grace_test.go
@@ -0,0 +1,119 @@
+package observer_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
+	"github.com/eelgrassdrift/eelgrassdrift/observer"
+)
+
+// readOnce lets a Follower read until the item with the offset arrives and returns the
+// result of that read.
+func readOnce(t *testing.T, f *observer.Follower, offset uint64) observer.Update {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	var last observer.Update
+	f.Name, f.Log, f.Table = "t", zerolog.Nop(), new(observer.Table)
+	f.Changed = func(u observer.Update) {
+		if len(u.Fresh) > 0 && u.Fresh[0].Offset >= offset {
+			last = u
+			cancel()
+		}
+	}
+	if err := f.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if last.Fresh == nil {
+		t.Fatal("the item did not arrive")
+	}
+	return last
+}
+
+func items(offset uint64) connector.Changes {
+	return connector.Changes{Items: []connector.Item{value("m", "2", offset)}, Next: offset + 1}
+}
+
+// A process that was paused while a record was written must not date the record after
+// the pause. A gateway that was frozen sent requests to engines of an older version for
+// as much longer than the version allows.
+func TestRecordWrittenInPause(t *testing.T) {
+	pauseStart := timekeeper.Now()
+	reads := 0
+	f := &observer.Follower{
+		Sources: []observer.Source{{Name: "platform", Read: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
+			reads++
+			return items(uint64(reads)), nil
+		}}},
+		Earliest: func(time.Time) time.Time { return pauseStart },
+	}
+	if u := readOnce(t, f, 2); !u.After.Equal(pauseStart) {
+		t.Errorf("dated %s after the start of the pause, want 0", u.After.Sub(pauseStart))
+	}
+}
+
+// A record that arrives with the first read after failed ones may have been written
+// right after the last successful read.
+func TestRecordWrittenBetweenReads(t *testing.T) {
+	reads := 0
+	var last time.Time
+	f := &observer.Follower{
+		Sources: []observer.Source{{Name: "platform", Read: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
+			reads++
+			switch {
+			case reads == 1:
+				last = timekeeper.Now()
+				return items(1), nil
+			case timekeeper.Now().Sub(last) < time.Second:
+				return connector.Changes{}, errors.New("away")
+			}
+			return items(2), nil
+		}}},
+		Earliest: func(time.Time) time.Time { return timekeeper.Now() },
+	}
+	if u := readOnce(t, f, 2); u.After.Sub(last) > 500*time.Millisecond {
+		t.Errorf("dated %s after the last successful read, want the time of that read", u.After.Sub(last))
+	}
+}
+
+// A record for which a read has waited was written when it arrived. Dating it earlier
+// would take time from each rollout of a version.
+func TestRecordThatWasAwaited(t *testing.T) {
+	reads := 0
+	f := &observer.Follower{
+		Sources: []observer.Source{{Name: "platform", Read: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
+			if reads++; reads > 1 {
+				time.Sleep(600 * time.Millisecond)
+			}
+			return items(uint64(reads)), nil
+		}}},
+		Earliest: func(time.Time) time.Time { return timekeeper.Now() },
+	}
+	u := readOnce(t, f, 2)
+	if d := timekeeper.Now().Sub(u.After); d > 300*time.Millisecond {
+		t.Errorf("dated %s before its arrival, want 0", d)
+	}
+}
+
+// The grace period of a version must end before its time when the process learned of it
+// late.
+func TestGraceOfLateVersion(t *testing.T) {
+	const grace = 7 * time.Second
+	c := newStateWithClock()
+	c.ApplyOperator([]connector.Item{value("m", "1", 1)}, time.Time{})
+	c.ApplyOperator([]connector.Item{value("m", "2", 2)}, c.now.Add(-3500*time.Millisecond))
+	c.now = c.now.Add(3400 * time.Millisecond)
+	if n := c.Target("m", grace); n.Floor != 1 {
+		t.Errorf("6.9 s after the version: floor %d, want 1", n.Floor)
+	}
+	c.now = c.now.Add(200 * time.Millisecond)
+	if n := c.Target("m", grace); n.Floor != 2 {
+		t.Errorf("7.1 s after the version: floor %d, want 2", n.Floor)
+	}
+}
--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
 )
@@ -41,13 +42,13 @@
 // A read from a source that lags behind must not replace newer records.
 func TestTableNeverGoesBack(t *testing.T) {
 	var b observer.Table
-	b.Apply(connector.Changes{Items: []connector.Item{value("a", "2", 7)}, Next: 8})
-	b.Apply(connector.Changes{Items: []connector.Item{value("a", "1", 3), value("b", "1", 2)}, Next: 4})
+	b.Apply(connector.Changes{Items: []connector.Item{value("a", "2", 7)}, Next: 8}, timekeeper.Now())
+	b.Apply(connector.Changes{Items: []connector.Item{value("a", "1", 3), value("b", "1", 2)}, Next: 4}, timekeeper.Now())
 	if s := content(&b); s != "a=2 b=1" || b.Next() != 8 {
 		t.Errorf("%s next %d", s, b.Next())
 	}
-	b.Apply(connector.Changes{Items: []connector.Item{{Key: "a", Offset: 9}}, Next: 10})
-	b.Apply(connector.Changes{Items: []connector.Item{value("a", "2", 7)}, Next: 8})
+	b.Apply(connector.Changes{Items: []connector.Item{{Key: "a", Offset: 9}}, Next: 10}, timekeeper.Now())
+	b.Apply(connector.Changes{Items: []connector.Item{value("a", "2", 7)}, Next: 8}, timekeeper.Now())
 	if s := content(&b); s != "b=1" {
 		t.Errorf("a dropped key is back: %s", s)
 	}
@@ -56,8 +57,8 @@
 // A full read must delete the keys that it lacks, except those with newer records.
 func TestTableWhole(t *testing.T) {
 	var b observer.Table
-	b.Apply(connector.Changes{Items: []connector.Item{value("a", "1", 1), value("b", "1", 9)}, Next: 10})
-	b.Apply(connector.Changes{Items: []connector.Item{value("c", "1", 4)}, Next: 6, Full: true})
+	b.Apply(connector.Changes{Items: []connector.Item{value("a", "1", 1), value("b", "1", 9)}, Next: 10}, timekeeper.Now())
+	b.Apply(connector.Changes{Items: []connector.Item{value("c", "1", 4)}, Next: 6, Full: true}, timekeeper.Now())
 	if s := content(&b); s != "b=1 c=1" {
 		t.Error(s)
 	}
@@ -67,8 +68,8 @@
 // own records where theirs are older.
 func TestFollowerFallsBack(t *testing.T) {
 	var peer, own observer.Table
-	peer.Apply(connector.Changes{Items: []connector.Item{value("a", "2", 5)}, Next: 6})
-	own.Apply(connector.Changes{Items: []connector.Item{value("a", "1", 3)}, Next: 4})
+	peer.Apply(connector.Changes{Items: []connector.Item{value("a", "2", 5)}, Next: 6}, timekeeper.Now())
+	own.Apply(connector.Changes{Items: []connector.Item{value("a", "1", 3)}, Next: 4}, timekeeper.Now())
 	mux := http.NewServeMux()
 	mux.Handle("GET /v1/tables/{name}", &observer.Handler{Tables: map[string]*observer.Table{"t": &peer}})
 	s := httptest.NewServer(mux)
@@ -85,8 +86,8 @@
 			{Name: "peers", Read: (&observer.PeerReader{Table: "t", Client: http.DefaultClient, Peers: func() []netip.AddrPort { return []netip.AddrPort{address} }, Now: time.Now}).Read},
 		},
 		Failed: func() { failed.Add(1) },
-		Changed: func(fresh []connector.Item, first bool) {
-			if len(fresh) > 0 && !first {
+		Changed: func(u observer.Update) {
+			if len(u.Fresh) > 0 && !u.First {
 				cancel()
 			}
 		},
@@ -106,9 +107,9 @@
 func TestStalePeersAskEachOther(t *testing.T) {
 	var own, stale, fresh observer.Table
 	old := connector.Changes{Items: []connector.Item{value("a", "1", 3)}, Next: 4, Age: 10 * time.Second}
-	own.Apply(old)
-	stale.Apply(old)
-	fresh.Apply(connector.Changes{Items: []connector.Item{value("a", "2", 5)}, Next: 6})
+	own.Apply(old, timekeeper.Now())
+	stale.Apply(old, timekeeper.Now())
+	fresh.Apply(connector.Changes{Items: []connector.Item{value("a", "2", 5)}, Next: 6}, timekeeper.Now())
 	var peers []netip.AddrPort
 	for _, b := range []*observer.Table{&stale, &fresh} {
 		mux := http.NewServeMux()
@@ -127,8 +128,8 @@
 			}},
 			{Name: "peers", Read: (&observer.PeerReader{Table: "t", Client: http.DefaultClient, Peers: func() []netip.AddrPort { return peers }, Now: time.Now}).Read},
 		},
-		Changed: func(items []connector.Item, _ bool) {
-			if len(items) > 0 {
+		Changed: func(u observer.Update) {
+			if len(u.Fresh) > 0 {
 				cancel()
 			}
 		},
@@ -244,14 +245,14 @@
 // one. The deletion of a record must end the evacuation of its failure domain.
 func TestConfigurationStays(t *testing.T) {
 	c := newStateWithClock()
-	c.ApplyOperator([]connector.Item{value("config", "5", 1)}, true)
-	c.ApplyOperator([]connector.Item{value("config", "x", 2)}, false)
-	c.ApplyOperator([]connector.Item{value("config", "3", 3)}, false)
+	c.ApplyOperator([]connector.Item{value("config", "5", 1)}, time.Time{})
+	c.ApplyOperator([]connector.Item{value("config", "x", 2)}, c.now)
+	c.ApplyOperator([]connector.Item{value("config", "3", 3)}, c.now)
 	if r := c.Table().Configuration.Revision; r != 5 {
 		t.Errorf("revision %d", r)
 	}
-	c.ApplyOperator([]connector.Item{value("out", "a", 4)}, false)
-	c.ApplyOperator([]connector.Item{{Key: "out", Offset: 5}}, false)
+	c.ApplyOperator([]connector.Item{value("out", "a", 4)}, c.now)
+	c.ApplyOperator([]connector.Item{{Key: "out", Offset: 5}}, c.now)
 	if m := c.Evacuated(); len(m) != 0 {
 		t.Errorf("a failure domain that was taken back is out: %v", m)
 	}
@@ -263,13 +264,13 @@
 func TestTargetFloor(t *testing.T) {
 	const grace = 7 * time.Second
 	c := newStateWithClock()
-	c.ApplyOperator([]connector.Item{value("m", "1", 1)}, true)
+	c.ApplyOperator([]connector.Item{value("m", "1", 1)}, time.Time{})
 	if n := c.Target("m", grace); n.Floor != 1 || n.Version != 1 {
 		t.Errorf("at the start: %+v", n)
 	}
-	c.ApplyOperator([]connector.Item{value("m", "2", 2)}, false)
+	c.ApplyOperator([]connector.Item{value("m", "2", 2)}, c.now)
 	c.now = c.now.Add(4 * time.Second)
-	c.ApplyOperator([]connector.Item{value("m", "3", 3)}, false)
+	c.ApplyOperator([]connector.Item{value("m", "3", 3)}, c.now)
 	if n := c.Target("m", grace); n.Floor != 1 || n.Version != 3 {
 		t.Errorf("after 4 s: %+v", n)
 	}
--- a/observer/peers_test.go
+++ b/observer/peers_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 )
 
@@ -25,7 +26,7 @@
 func newPeer(t *testing.T) *peer {
 	t.Helper()
 	p := new(peer)
-	p.table.Apply(connector.Changes{Items: []connector.Item{value("a", "long", 1)}, Next: 2, Age: time.Hour})
+	p.table.Apply(connector.Changes{Items: []connector.Item{value("a", "long", 1)}, Next: 2, Age: time.Hour}, timekeeper.Now())
 	mux := http.NewServeMux()
 	mux.Handle("GET /v1/tables/{name}", &observer.Handler{
 		Tables: map[string]*observer.Table{"t": &p.table},
@@ -50,7 +51,7 @@
 // is sent over the links between regions, and they fill up.
 func TestFailedPeerIsAskedAgain(t *testing.T) {
 	near, far := newPeer(t), newPeer(t)
-	far.table.Apply(connector.Changes{Items: []connector.Item{value("a", "far", 2)}, Next: 3})
+	far.table.Apply(connector.Changes{Items: []connector.Item{value("a", "far", 2)}, Next: 3}, timekeeper.Now())
 	now := time.Unix(1000, 0)
 	r := &observer.PeerReader{
 		Table: "t", Client: http.DefaultClient, Now: func() time.Time { return now },
@@ -88,8 +89,8 @@
 func TestStalePeersAreNotPolled(t *testing.T) {
 	stale := connector.Changes{Items: []connector.Item{value("a", "1", 3)}, Next: 4, Age: 10 * time.Second}
 	a, b := newPeer(t), newPeer(t)
-	a.table.Apply(stale)
-	b.table.Apply(stale)
+	a.table.Apply(stale, timekeeper.Now())
+	b.table.Apply(stale, timekeeper.Now())
 	now := time.Now()
 	r := &observer.PeerReader{
 		Table: "t", Client: http.DefaultClient, Now: func() time.Time { return now },
--- a/observer/state.go
+++ b/observer/state.go
@@ -63,8 +63,10 @@
 	DecodeEndpoint func(key string, value []byte) (*Endpoint, error)
 	// DecodeGateway decodes the record of a gateway.
 	DecodeGateway func(value []byte) (*Gateway, error)
-	Now           func() time.Time
-	Log           zerolog.Logger
+	// Now returns the current time on the clock of package timekeeper, on which grace
+	// periods are measured.
+	Now func() time.Time
+	Log zerolog.Logger
 
 	table     atomic.Pointer[resolver.Table]
 	endpoints atomic.Pointer[map[string]*Endpoint]
@@ -89,9 +91,9 @@
 
 type targetVersion struct {
 	version int64
-	// learned is when this process learned of the version; the zero time if it may have
-	// been the target for long before that.
-	learned time.Time
+	// since is a time before which the version was not the target; the zero time if it
+	// may have been the target for long.
+	since time.Time
 }
 
 // Table returns the current routing table, or nil if no configuration is known.
@@ -106,9 +108,9 @@
 	return nil
 }
 
-// ApplyOperator applies new operator records. bootstrap reports whether they come from
-// the first read, whose records may be old.
-func (s *State) ApplyOperator(items []connector.Item, bootstrap bool) {
+// ApplyOperator applies new operator records. after is a time before which none of them
+// was written; the zero time if it isn't known.
+func (s *State) ApplyOperator(items []connector.Item, after time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.evacuated == nil {
@@ -127,12 +129,12 @@
 			continue
 		}
 		if d != nil {
-			s.applyDecision(i, d, bootstrap)
+			s.applyDecision(i, d, after)
 		}
 	}
 }
 
-func (s *State) applyDecision(i connector.Item, d *Decision, bootstrap bool) {
+func (s *State) applyDecision(i connector.Item, d *Decision, after time.Time) {
 	l := s.Log.Info().Str("key", i.Key).Uint64("offset", i.Offset)
 	switch {
 	case d.Configuration != nil:
@@ -154,11 +156,10 @@
 		if n := len(*h); n > 0 && (*h)[n-1].version >= d.Target.Version {
 			return
 		}
-		g := targetVersion{version: d.Target.Version, learned: s.Now()}
-		if bootstrap {
-			g.learned = time.Time{}
+		*h = append(*h, targetVersion{version: d.Target.Version, since: after})
+		if !after.IsZero() {
+			l.Dur("age-ms", s.Now().Sub(after))
 		}
-		*h = append(*h, g)
 		l.Str("model", d.Target.Model).Int64("version", d.Target.Version).Msg("version-named")
 	}
 }
@@ -178,11 +179,11 @@
 type TargetVersions struct {
 	// Version is the newest target version; 0 if there is none.
 	Version int64
-	// Learned is when this process learned of Version; the zero time if it may have been
-	// the target for long before that.
-	Learned time.Time
-	// Floor is the newest target version that this process learned of at least a grace
-	// period ago; 0 if there is none.
+	// Since is a time before which Version was not the target, on the clock of package
+	// timekeeper; the zero time if it may have been the target for long.
+	Since time.Time
+	// Floor is the newest target version whose grace period may have ended; 0 if there
+	// is none.
 	Floor int64
 }
 
@@ -195,9 +196,9 @@
 		return TargetVersions{}
 	}
 	last := (*h)[len(*h)-1]
-	n := TargetVersions{Version: last.version, Learned: last.learned}
+	n := TargetVersions{Version: last.version, Since: last.since}
 	for _, g := range *h {
-		if s.Now().Sub(g.learned) >= grace {
+		if s.Now().Sub(g.since) >= grace {
 			n.Floor = g.version
 		}
 	}
--- a/observer/table.go
+++ b/observer/table.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 )
 
 // Table is the replica of one keyed table. The zero value is empty and ready to use.
@@ -17,15 +18,15 @@
 	// next is the offset after the newest record that the replica covers.
 	next uint64
 	// confirmed is when the platform last responded to a read of the table, by this
-	// process or by the peers from which it was read.
+	// process or by the peers from which it was read, on the clock of package timekeeper.
 	confirmed time.Time
 	// changed is closed and cleared at the next change; nil until a call of Wait needs it.
 	changed chan struct{}
 }
 
-// Apply merges changes and returns the items that were newer than those of the replica.
-// A full table also deletes the keys that it lacks, unless their records are newer.
-func (t *Table) Apply(c connector.Changes) []connector.Item {
+// Apply merges the changes that arrived at the given time, on the clock of package
+// timekeeper, and returns the items that were newer than those of the replica. A full table also deletes the keys that it lacks, unless their records are newer.
+func (t *Table) Apply(c connector.Changes, arrived time.Time) []connector.Item {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.items == nil {
@@ -50,7 +51,7 @@
 		}
 	}
 	t.next = max(t.next, c.Next)
-	if at := time.Now().Add(-c.Age); at.After(t.confirmed) {
+	if at := arrived.Add(-c.Age); at.After(t.confirmed) {
 		t.confirmed = at
 	}
 	if len(fresh) > 0 && t.changed != nil {
@@ -68,7 +69,8 @@
 }
 
 // Confirmed returns when the platform last responded to a read of the table, by this
-// process or by the peers from which it was read; the zero time before the first read.
+// process or by the peers from which it was read, on the clock of package timekeeper;
+// the zero time before the first read.
 func (t *Table) Confirmed() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -79,7 +81,7 @@
 func (t *Table) Since(from uint64) connector.Changes {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := connector.Changes{Next: t.next, Age: time.Since(t.confirmed)}
+	c := connector.Changes{Next: t.next, Age: timekeeper.Now().Sub(t.confirmed)}
 	for _, i := range t.items {
 		if i.Offset >= from {
 			c.Items = append(c.Items, i)
