dispatcher: hold the rate limit of cold endpoints with many gateways

Cause: the limit of a cold endpoint is divided among twice the known gateways, and the share was at least one request. With 60 gateways and a limit of 27.5 requests a second, 60 could be sent.

Change: where the share is below one request, only the gateways that rank first for the endpoint by rendezvous hash send to it, half as many as the limit allows; the other half is for lists that differ. Considered and left: leases of the cold rate by the agent, which need a message for each grant and a rule for paused gateways.

Tests that failed first: TestColdLimitHoldsInTotal (60 a second with 60 gateways, 640 with 640, limit 27.5), TestColdLimitWithListsThatDiffer.

--- /dev/null
+++ b/dispatcher/cold_test.go
@@ -0,0 +1,62 @@
+package dispatcher
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// coldRequests returns the largest number of requests per second that gateways send to
+// one cold endpoint, if the gateway i knows the gateways of known(i).
+func coldRequests(c ColdLimit, rate float64, gateways int, known func(i int) []string) int {
+	most := 0
+	for e := range 40 {
+		sum := 0
+		for i := range gateways {
+			l := known(i)
+			sum += c.share(rate, len(l)).at(fmt.Sprintf("e%d", e), gatewayName(i), l)
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+func gatewayName(i int) string { return fmt.Sprintf("gateway-%d", i) }
+
+// All gateways together must keep the limit of a cold endpoint at every size. With one
+// request a second each, 60 gateways sent twice as many as an endpoint bears.
+func TestColdLimitHoldsInTotal(t *testing.T) {
+	c := ColdLimit{Factor: 1.5, Slack: 5}
+	const rate, limit = 15, 27.5
+	for _, n := range []int{1, 4, 8, 13, 14, 22, 60, 83, 300, 640} {
+		var all []string
+		for i := range n {
+			all = append(all, gatewayName(i))
+		}
+		if sum := coldRequests(c, rate, n, func(int) []string { return all }); float64(sum) > limit || sum == 0 {
+			t.Errorf("%d gateways: %d requests a second to one endpoint, want 1 to %.1f", n, sum, limit)
+		}
+	}
+}
+
+// The limit must hold while the gateways' lists differ, as they do when gateways are
+// added: each knows a different three quarters of them here.
+func TestColdLimitWithListsThatDiffer(t *testing.T) {
+	c := ColdLimit{Factor: 1.5, Slack: 5}
+	const rate, limit = 15, 27.5
+	for _, n := range []int{30, 60, 300} {
+		r := rand.New(rand.NewPCG(1, uint64(n)))
+		known := func(self int) []string {
+			var l []string
+			for i := range n {
+				if i == self || r.Float64() < 0.75 {
+					l = append(l, gatewayName(i))
+				}
+			}
+			return l
+		}
+		if sum := coldRequests(c, rate, n, known); float64(sum) > limit {
+			t.Errorf("%d gateways: %d requests a second to one endpoint, want at most %.1f", n, sum, limit)
+		}
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -13,25 +13,11 @@
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
 )
 
-const (
-	// minGateways is the minimum number of gateways among which the rate limit of a
-	// cold endpoint is divided, so that added or restarted gateways don't exceed it.
-	minGateways = 8
-	// gatewayFactor is the assumed upper bound of the ratio of running gateways to
-	// those that this gateway knows.
-	gatewayFactor = 2
-)
-
-// ColdLimit limits the requests per second that all gateways together send to a cold
-// endpoint to Service.ColdRate x Factor + Slack.
-type ColdLimit struct {
-	Factor float64
-	Slack  float64
-}
-
 // Dispatcher assigns requests to endpoints. Its exported fields must be set before
 // the first call; its methods may be called concurrently.
 type Dispatcher struct {
+	// Name is the name under which this gateway registers itself.
+	Name string
 	// Domain and Region are the failure domain and region of this gateway.
 	Domain, Region string
 	Cold           ColdLimit
@@ -45,6 +31,8 @@
 	mu       sync.Mutex
 	pools    map[string]*pool
 	gateways int
+	// gatewayNames holds the names of the known gateways.
+	gatewayNames []string
 	// near and far are buffers that pickAmong reuses.
 	near, far []*node
 	// listed reports whether an endpoint list has been applied. Endpoints of the
@@ -99,10 +87,11 @@
 		return
 	}
 	evacuated := d.State.Evacuated()
-	gateways := d.State.GatewayCount()
+	names := d.State.GatewayNames()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.gateways = max(gateways, 1)
+	d.gatewayNames = names
+	d.gateways = max(len(names), 1)
 	d.addPools(t, list)
 	for _, p := range d.pools {
 		s := t.Service(p.service)
@@ -128,24 +117,13 @@
 }
 
 func (d *Dispatcher) updatePool(p *pool, s *resolver.Service) {
-	p.coldShare = d.coldShare(s.ColdRate)
+	p.cold = d.Cold.share(s.ColdRate, d.gateways)
 	if s.Engine != nil {
 		p.model, p.readRate = s.Engine.Model, s.Engine.ReadRate
 		p.target = d.State.Target(p.model, d.Grace)
 	}
 }
 
-// coldShare returns the number of requests per second that this gateway may send to
-// a cold endpoint with the given rate limit. The limit is divided among more
-// gateways than are expected to run, so that gateways needn't coordinate.
-func (d *Dispatcher) coldShare(rate float64) int {
-	if rate <= 0 {
-		return 1 << 30
-	}
-	n := max(minGateways, gatewayFactor*d.gateways)
-	return max(1, int((rate*d.Cold.Factor+d.Cold.Slack)/float64(n)))
-}
-
 // updateNodes updates the nodes of a pool from the endpoint list; s is nil if the
 // configuration no longer has the service.
 func (d *Dispatcher) updateNodes(p *pool, s *resolver.Service, list map[string]*observer.Endpoint, evacuated map[string]bool) {
@@ -172,6 +150,9 @@
 		}
 		n.Endpoint = *e
 		n.Draining = e.Draining || evacuated[e.Domain]
+		if now.Before(n.coldUntil) {
+			n.coldShare = p.cold.at(id, d.Name, d.gatewayNames)
+		}
 	}
 }
 
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -70,6 +70,9 @@
 	prefill time.Duration
 
 	coldUntil time.Time
+	// coldShare is the number of requests that this gateway may send in a
+	// coldRateWindow while the endpoint is cold.
+	coldShare int
 	// avoidUntil is when an endpoint that refused a request may be asked again.
 	avoidUntil time.Time
 	// suspectUntil is the time until which an endpoint that failed gets requests
@@ -125,7 +128,7 @@
 
 // isColdLimited reports whether the endpoint is cold and this gateway has used up
 // its share of requests for the present coldRateWindow.
-func (n *node) isColdLimited(now time.Time, share int) bool {
+func (n *node) isColdLimited(now time.Time) bool {
 	if now.After(n.coldUntil) {
 		n.coldSent = n.coldSent[:0]
 		return false
@@ -133,7 +136,7 @@
 	for len(n.coldSent) > 0 && now.Sub(n.coldSent[0]) > coldRateWindow {
 		n.coldSent = n.coldSent[1:]
 	}
-	return len(n.coldSent) >= share
+	return len(n.coldSent) >= n.coldShare
 }
 
 // recordFailure counts a failure and marks the endpoint as suspect, for a time that
--- a/dispatcher/pick.go
+++ b/dispatcher/pick.go
@@ -110,7 +110,7 @@
 // hasCapacity reports whether the endpoint has a free slot for the request and,
 // unless the request resumes a stream, few enough prompts pending.
 func (d *Dispatcher) hasCapacity(p *pool, n *node, r Request, now time.Time) bool {
-	if n.load(now, d.gateways) >= p.limit(n, r, now) || n.isColdLimited(now, p.coldShare) {
+	if n.load(now, d.gateways) >= p.limit(n, r, now) || n.isColdLimited(now) {
 		return false
 	}
 	return r.Resumed || n.prefill == 0 || n.prefill+p.prefillTime(r) <= d.prefillLimit(r)
--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -58,9 +58,7 @@
 	// readRate is the number of prompt tokens that an engine processes per second.
 	readRate float64
 	target   observer.TargetVersions
-	// coldShare is the number of requests per second that this gateway may send
-	// to a cold endpoint.
-	coldShare int
+	cold     coldShare
 	// unplaced is a buffer that grantOne reuses.
 	unplaced []unplaced
 	// freed holds the times at which slots became free within rateWindow.
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -144,7 +144,7 @@
 	g.monitor.Limit = maxBeatInterval
 	g.follower.earliest = g.monitor.Earliest
 	g.dispatcher = &dispatcher.Dispatcher{
-		Domain: g.Domain, Region: g.Region, Cold: g.Cold, State: g.follower.state,
+		Name: g.Name, Domain: g.Domain, Region: g.Region, Cold: g.Cold, State: g.follower.state,
 		Grace: time.Duration(float64(g.MaxVersionDelay) * graceShare),
 	}
 	g.front = &forwarder.Handler{
--- a/observer/gateways.go
+++ b/observer/gateways.go
@@ -1,6 +1,7 @@
 package observer
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -26,12 +27,23 @@
 		}
 		s.gateways[i.Key] = g
 	}
-	s.gatewayCount.Store(int64(len(s.gateways)))
+	if len(items) > 0 {
+		names := slices.Sorted(maps.Keys(s.gateways))
+		s.gatewayNames.Store(&names)
+	}
+}
+
+// GatewayNames returns the sorted names of the known gateways. The slice must not be
+// modified and doesn't change later. No lock is taken, as it is read for each request.
+func (s *State) GatewayNames() []string {
+	if l := s.gatewayNames.Load(); l != nil {
+		return *l
+	}
+	return nil
 }
 
-// GatewayCount returns the number of known gateways. It takes no lock, as it is called
-// for each request.
-func (s *State) GatewayCount() int { return int(s.gatewayCount.Load()) }
+// GatewayCount returns the number of known gateways.
+func (s *State) GatewayCount() int { return len(s.GatewayNames()) }
 
 // Gateways returns the known gateways sorted by name, those of the failure domain first.
 func (s *State) Gateways(domain string) []*Gateway {
--- a/observer/state.go
+++ b/observer/state.go
@@ -70,8 +70,9 @@
 
 	table     atomic.Pointer[resolver.Table]
 	endpoints atomic.Pointer[map[string]*Endpoint]
-	// gatewayCount is the length of gateways, for reads without the lock.
-	gatewayCount atomic.Int64
+	// gatewayNames holds the sorted names of gateways, for reads without the lock. The
+	// slice is replaced by each change.
+	gatewayNames atomic.Pointer[[]string]
 
 	mu        sync.Mutex
 	evacuated map[string]string
