--- a/observer/follower.go
+++ b/observer/follower.go
@@ -72,6 +72,8 @@
 	Wait time.Duration
 	// Pace is the pause after each successful read.
 	Pace time.Duration
+	// PaceFunc replaces Pace if it isn't nil.
+	PaceFunc func() time.Duration
 	// Changed is called after each successful read.
 	Changed func(Update)
 	// Earliest returns the earliest time of an event that the process began to wait for
@@ -88,6 +90,9 @@
 	Log    zerolog.Logger
 
 	firstSourceFailedAt time.Time
+	// lastFailure is the earliest time of the last failure of the first source, on the
+	// clock of package timekeeper.
+	lastFailure time.Time
 	// firstSourceLost reports whether the last read from the first source failed.
 	firstSourceLost bool
 }
@@ -96,6 +101,9 @@
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		pause := f.Pace
+		if f.PaceFunc != nil {
+			pause = f.PaceFunc()
+		}
 		switch ok := f.readFirstAvailable(ctx); {
 		case !ok:
 			pause = failedRoundDelay
@@ -132,6 +140,9 @@
 			return false
 		}
 		if i == 0 {
+			if err != nil {
+				f.lastFailure = f.noticed(began)
+			}
 			f.recordFirstSource(s, err)
 		}
 		if err == nil {
@@ -147,21 +158,32 @@
 // A source sends a new item at once to a reader that waits for it. If the table was up
 // to date when the read began, the items were therefore written when the response
 // arrived. Otherwise they may have been written at any time since the table was last
-// confirmed, for example during an outage of the source or before a late read.
+// confirmed, for example before a late read. The time of an outage of the first source
+// doesn't count, because a permission of the operators starts anew after it.
 func (f *Follower) apply(c connector.Changes, first bool, began time.Time) {
-	arrived := timekeeper.Now()
-	if f.Earliest != nil {
-		arrived = f.Earliest(began)
-	}
+	arrived := f.noticed(began)
 	u := Update{First: first, After: f.Table.Confirmed()}
 	isCurrent := first && began.Sub(u.After) < maxConfirmedAge
-	if !u.After.IsZero() && (isCurrent || f.Earliest == nil) {
+	switch {
+	case u.After.IsZero():
+	case isCurrent || f.Earliest == nil:
 		u.After = arrived
+	case f.lastFailure.After(u.After):
+		u.After = f.lastFailure
 	}
 	u.Fresh = f.Table.Apply(c, arrived)
 	f.Changed(u)
 }
 
+// noticed returns the earliest time of an event that the process began to wait for at
+// the given time and notices now.
+func (f *Follower) noticed(began time.Time) time.Time {
+	if f.Earliest == nil {
+		return timekeeper.Now()
+	}
+	return f.Earliest(began)
+}
+
 func (f *Follower) read(ctx context.Context, s Source, wait time.Duration) (connector.Changes, error) {
 	whole, cancel := context.WithTimeout(ctx, wait+responseTimeout)
 	defer cancel()
