direct: two gateways of a large failure domain read the endpoint list

Cause: each gateway read the list from the store every 0.35 of the drain time.

Change: in a failure domain with 8 gateways or more, two of them, chosen by rendezvous hash, read the list from the store; the others wait for changes at these, and read the store themselves if both fail, stop, or have data that is older than 1.25 intervals.

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -44,6 +44,14 @@
 	// gateway, as a part of the time after which a draining endpoint must get no more
 	// requests. The rest is for a slow response and a second read after a failed one.
 	listIntervalShare = 0.35
+	// maxListAgeFactor times the interval is the age of a reader's list from which a
+	// gateway reads the platform itself.
+	maxListAgeFactor = 1.25
+	// readersPerDomain is the number of gateways of a failure domain that read the list
+	// of endpoints from the platform for the others, one of which may be lost. In a
+	// failure domain with fewer than minSharingGateways, each gateway reads it.
+	readersPerDomain   = 2
+	minSharingGateways = 8
 	// agentListInterval is the pause between two reads of the endpoint list at an agent,
 	// which needs it only to find its peers.
 	agentListInterval = time.Second
@@ -168,9 +176,19 @@
 
 // run follows all tables until ctx is done.
 func (f *follower) run(ctx context.Context, agent bool) error {
-	interval, listWait := time.Duration(float64(f.drain)*listIntervalShare), time.Duration(0)
-	if agent {
-		interval = agentListInterval
+	list := &observer.Follower{
+		Name: endpointTable, Table: &f.endpoints, Sources: f.sources(endpointTable, f.tables.Endpoints, agent),
+		Pace: agentListInterval, Log: f.log, Reconnect: f.client.CloseIdleConnections, Failed: f.state.ListFailed,
+		Changed: func(u observer.Update) {
+			f.state.ApplyEndpoints(u.Fresh, u.First)
+			f.notify(len(u.Fresh) > 0)
+		},
+	}
+	if !agent {
+		interval := time.Duration(float64(f.drain) * listIntervalShare)
+		r := f.sharedReader(endpointTable, f.tables.Endpoints, time.Duration(float64(interval)*maxListAgeFactor))
+		list.Sources[0].Read, list.Wait = r.Read, observer.MaxReadTime
+		list.PaceFunc = func() time.Duration { return r.Pace(interval) }
 	}
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
@@ -184,16 +202,7 @@
 			},
 		}).Run(ctx)
 	})
-	g.Go(func() error {
-		return (&observer.Follower{
-			Name: endpointTable, Table: &f.endpoints, Sources: f.sources(endpointTable, f.tables.Endpoints, agent),
-			Wait: listWait, Pace: interval, Log: f.log, Reconnect: f.client.CloseIdleConnections, Failed: f.state.ListFailed,
-			Changed: func(u observer.Update) {
-				f.state.ApplyEndpoints(u.Fresh, u.First)
-				f.notify(len(u.Fresh) > 0)
-			},
-		}).Run(ctx)
-	})
+	g.Go(func() error { return list.Run(ctx) })
 	g.Go(func() error {
 		return (&observer.Follower{
 			Name: gatewayTable, Table: &f.gateways, Sources: f.sources(gatewayTable, f.tables.Gateways, agent),
@@ -204,6 +213,42 @@
 	return g.Wait()
 }
 
+// sharedReader returns the reader of a table that the gateways of this failure domain
+// share.
+func (f *follower) sharedReader(name string, t *connector.Table, maxAge time.Duration) *observer.SharedReader {
+	peers := &observer.PeerReader{Table: name, Client: f.client, Now: time.Now, Peers: f.readers}
+	return &observer.SharedReader{
+		Platform: t.Read, Readers: peers.Read, MaxAge: maxAge,
+		IsReader: func() bool { l := f.readers(); return len(l) == 0 || slices.Contains(l, f.self) },
+	}
+}
+
+// readers returns the addresses of the gateways of this failure domain that read the
+// shared tables from the platform; none if each gateway does. The order of a gateway's
+// own spreads the reads over them.
+func (f *follower) readers() []netip.AddrPort {
+	var near []rankedGateway
+	for _, g := range f.state.Gateways(f.domain) {
+		if g.Domain == f.domain {
+			near = append(near, rankedGateway{address: g.Address, rank: xxhash.Sum64String(g.Name)})
+		}
+	}
+	if len(near) < minSharingGateways {
+		return nil
+	}
+	slices.SortFunc(near, rankedGateway.compare)
+	near = near[:readersPerDomain]
+	for i := range near {
+		near[i].rank = rendezvousHash(f.self, near[i].address)
+	}
+	slices.SortFunc(near, rankedGateway.compare)
+	var l []netip.AddrPort
+	for _, r := range near {
+		l = append(l, r.address)
+	}
+	return l
+}
+
 func (f *follower) notify(changed bool) {
 	if changed && f.changed != nil {
 		f.changed()
