loader: serve a version that the origin sent before a newer one was named

After the outage, instances still had to fetch pieces that peers had all along: chunks that nobody had occupied all workers. Staging began with the last piece.

Change: a superseded version that the origin had the time to send (its link is in the configuration) is completed from peers, as long as nothing newer is complete. A chunk that no source sends for LateDelay no longer holds a worker. Pieces are staged as they arrive, unless another version has to be loaded first. A peer that is fetching a chunk is waited for 4 s in place of 1.5 s: the origin needs up to 2.6 s for a version, and instances that gave up earlier asked it for the same chunks. The origin is retried every 150 ms in place of 300.

TestCorruptionWhileStaged corrupts pieces in the read-back before the order, which it now finds by the closed report in place of a count of reads, since early staging changes the count.

--- a/distributor/attempt.go
+++ b/distributor/attempt.go
@@ -218,6 +218,8 @@
 // receive reads a body into a buffer, verifies it and hands the buffer to the store.
 func (t *task) receive(s Source, body io.Reader, size int64, w *watchdog) error {
 	f := t.f
+	t.receiving.Add(1)
+	defer t.receiving.Add(-1)
 	d, want := t.chunks[t.chunk], t.sizes[t.chunk]
 	if want >= 0 && size >= 0 && size != want {
 		return t.corrupted(s, errors.Newf("length is %d, not %d", size, want))
--- a/distributor/fetcher.go
+++ b/distributor/fetcher.go
@@ -28,6 +28,7 @@
 	defaultPoll           = 500 * time.Millisecond
 	defaultStall          = 2 * time.Second
 	defaultHedgeDelay     = 30 * time.Second
+	defaultLateDelay      = 4 * time.Second
 	defaultMaxBackoff     = 5 * time.Second
 )
 
@@ -80,6 +81,9 @@
 	// HedgeDelay is how long a source may be fetching a chunk before the next
 	// source is asked as well; the default is 30 s.
 	HedgeDelay time.Duration
+	// LateDelay is how long a chunk that no source sends counts against the limits of
+	// chunks in flight; the default is 4 s. Later it is waited for beside them.
+	LateDelay time.Duration
 	// MaxBackoff limits the delay after all sources failed and the delay between
 	// origin reads; the default is 5 s. The origin may ask for a longer one.
 	MaxBackoff time.Duration
@@ -113,6 +117,7 @@
 		f.Poll = min(f.Poll, f.Wait)
 		setDefault(&f.Stall, defaultStall)
 		setDefault(&f.HedgeDelay, defaultHedgeDelay)
+		setDefault(&f.LateDelay, defaultLateDelay)
 		setDefault(&f.MaxBackoff, defaultMaxBackoff)
 		if f.Now == nil {
 			f.Now = time.Now
@@ -212,7 +217,7 @@
 		kept, err = f.Store.Keep(d, b)
 		return errors.Mark(err, errRejected)
 	}
-	if err := r.fetch(ctx, 0); err != nil {
+	if err := newTask(r, 0).fetch(ctx); err != nil {
 		return nil, &Error{Op: "fetch manifest of " + v.Key(), Kind: kindOf(ctx, err), Err: err}
 	}
 	return kept, nil
--- a/distributor/run.go
+++ b/distributor/run.go
@@ -91,10 +91,17 @@
 	f.crossRegion.SetLimit(rate.Limit(f.CrossRegionRate / float64(max(n, 1))))
 }
 
+// maxLateChunks is the number of chunks of a queue that are waited for beside those in
+// flight, because no source has them yet. A version usually lacks only a few chunks
+// while its origin is unavailable.
+const maxLateChunks = 16
+
 // startWorkers starts n workers that fetch the chunks of one queue. They call done
-// after each chunk.
+// after each chunk. A worker goes on to the next chunk if none of one has arrived within
+// LateDelay, so that chunks which no source has yet don't hold up those that peers have.
 func (r *run) startWorkers(ctx context.Context, g *errgroup.Group, queue []int, n int, done func()) {
 	var next atomic.Int64
+	late := make(chan struct{}, maxLateChunks)
 	for range min(n, len(queue)) {
 		g.Go(func() error {
 			for {
@@ -102,13 +109,50 @@
 				if i >= len(queue) {
 					return nil
 				}
-				if !r.f.Store.Has(r.chunks[queue[i]]) {
-					if err := r.fetch(ctx, queue[i]); err != nil {
-						return err
-					}
+				if r.f.Store.Has(r.chunks[queue[i]]) {
+					done()
+					continue
+				}
+				if err := r.fetchOrLeave(ctx, g, queue[i], late, done); err != nil {
+					return err
 				}
-				done()
 			}
 		})
 	}
 }
+
+// fetchOrLeave fetches one chunk and calls done. If no source sends the chunk within
+// LateDelay, it returns while the fetch goes on in the group, once a place in late is
+// free.
+func (r *run) fetchOrLeave(ctx context.Context, g *errgroup.Group, chunk int, late chan struct{}, done func()) error {
+	result := make(chan error, 1)
+	t := newTask(r, chunk)
+	g.Go(func() error {
+		err := t.fetch(ctx)
+		if err == nil {
+			done()
+		}
+		result <- err
+		return err
+	})
+	timer := time.NewTicker(r.f.LateDelay)
+	defer timer.Stop()
+	for isLate := false; !isLate; isLate = t.receiving.Load() == 0 {
+		select {
+		case err := <-result:
+			return err
+		case <-timer.C:
+		}
+	}
+	select {
+	case err := <-result:
+		return err
+	case late <- struct{}{}:
+		g.Go(func() error {
+			defer func() { <-late }()
+			err := <-result
+			return err
+		})
+		return nil
+	}
+}
--- a/distributor/task.go
+++ b/distributor/task.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +20,9 @@
 	// avoid holds the sources that sent a corrupted chunk.
 	avoid map[netip.AddrPort]bool
 
+	// receiving is the number of sources that are sending the chunk.
+	receiving atomic.Int32
+
 	mu sync.Mutex
 	// roundPlan is the plan whose sources are asked in the current round.
 	roundPlan *Plan
@@ -77,19 +81,23 @@
 	err  error
 }
 
-// fetch fetches one chunk. It returns only when the chunk is in the store, the
+func newTask(r *run, chunk int) *task {
+	return &task{run: r, chunk: chunk, avoid: make(map[netip.AddrPort]bool)}
+}
+
+// fetch fetches the chunk. It returns only when the chunk is in the store, the
 // context ended or the store rejected the chunk.
-func (r *run) fetch(ctx context.Context, chunk int) error {
-	defer r.f.Store.beginFetch(r.chunks[chunk])()
-	t := &task{run: r, chunk: chunk, avoid: make(map[netip.AddrPort]bool)}
+func (t *task) fetch(ctx context.Context) error {
+	f, d := t.f, t.chunks[t.chunk]
+	defer f.Store.beginFetch(d)()
 	for n := 0; ; n++ {
 		ok, err := t.round(ctx)
 		if ok || err != nil {
 			return err
 		}
-		r.f.Store.setWaitChain(r.chunks[chunk], nil)
-		wait := min(r.f.MaxBackoff, minBackoff<<min(n, 16))
-		if err := sleep(ctx, time.Duration((0.5+r.f.Rand()/2)*float64(wait))); err != nil {
+		f.Store.setWaitChain(d, nil)
+		wait := min(f.MaxBackoff, minBackoff<<min(n, 16))
+		if err := sleep(ctx, time.Duration((0.5+f.Rand()/2)*float64(wait))); err != nil {
 			return err
 		}
 	}
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -27,11 +27,15 @@
 // Timeouts of the distribution of chunks among agents. A version of a few megabytes
 // is distributed within seconds, so a lost source must be given up sooner than that.
 const (
-	chunkWait     = 1500 * time.Millisecond
-	chunkPoll     = 300 * time.Millisecond
-	chunkStall    = 700 * time.Millisecond
-	chunkPatience = 1500 * time.Millisecond
-	chunkBackoff  = 300 * time.Millisecond
+	chunkWait  = 1500 * time.Millisecond
+	chunkPoll  = 300 * time.Millisecond
+	chunkStall = 700 * time.Millisecond
+	// chunkPatience exceeds the time in which the origin sends a whole version. Otherwise
+	// instances ask it for chunks that others are already waiting for.
+	chunkPatience = 4 * time.Second
+	chunkBackoff  = 150 * time.Millisecond
+	// chunkLate is longer than a chunk takes on a link that all chunks in flight share.
+	chunkLate = time.Second
 	// sendTimeout limits sending a chunk, so that a peer that is gone doesn't occupy one
 	// of the maxSentChunks for longer.
 	sendTimeout = time.Second
@@ -182,7 +186,7 @@
 		Client: distributor.NewClient(nil), Members: a.members, OriginParallel: maxOriginReads,
 		CrossRegionRate: a.RegionLink / bitsPerByte * regionShare,
 		Parallel:        maxPeerChunks, LeadParallel: maxLeadChunks,
-		Wait: chunkWait, Poll: chunkPoll, Stall: chunkStall, HedgeDelay: chunkPatience, MaxBackoff: chunkBackoff, Log: a.Log,
+		Wait: chunkWait, Poll: chunkPoll, Stall: chunkStall, HedgeDelay: chunkPatience, LateDelay: chunkLate, MaxBackoff: chunkBackoff, Log: a.Log,
 	}
 }
 
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -86,6 +86,12 @@
 	// complete is the newest version of which the store has all pieces, or which the
 	// engine already serves.
 	complete atomic.Int64
+	// superseded is the newest version whose fetch was stopped for a newer one.
+	superseded atomic.Int64
+	// fetching is the version that is being fetched with the origin; 0 if there is none.
+	fetching atomic.Int64
+	// staging guards the staged pieces between their check and the load order.
+	staging sync.Mutex
 
 	mu sync.Mutex
 	// manifests holds the manifests in the store by version.
@@ -94,11 +100,13 @@
 	pieces map[recorder.Digest]piece
 }
 
-// Run fetches and loads each new target version until ctx is done. Fetching and loading
-// run concurrently, so that a version can be fetched while an older one loads.
+// Run fetches and loads each new target version until ctx is done. Fetching, staging and
+// loading run concurrently, so that a version can be fetched while an older one loads.
 func (l *Loader) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return l.repeat(ctx, "fetch-failed", l.fetchStep) })
+	g.Go(func() error { return l.repeat(ctx, "superseded-fetch-failed", l.supersededStep) })
+	g.Go(func() error { return l.repeat(ctx, "early-stage-failed", l.stageEarlyStep) })
 	g.Go(func() error { return l.repeat(ctx, "load-failed", l.loadStep) })
 	return g.Wait()
 }
@@ -163,7 +171,10 @@
 		l.complete.CompareAndSwap(version, 0)
 		return nil
 	}
-	if err := l.stage(ctx, e.Model, m); err != nil {
+	l.staging.Lock()
+	err := l.stage(ctx, e.Model, m)
+	l.staging.Unlock()
+	if err != nil {
 		return err
 	}
 	l.Log.Info().Int64("version", version).Msg("version-staged")
@@ -180,7 +191,8 @@
 
 func fail(op string, k classifier.Kind, err error) error { return &Error{Op: op, Kind: k, Err: err} }
 
-// stage stages all pieces at the engine and reads them back until all are right.
+// stage stages all pieces at the engine and reads them back until all are right. The
+// caller must hold l.staging.
 func (l *Loader) stage(ctx context.Context, model string, m *manifest) error {
 	for range maxStageAttempts {
 		wrong := 0
@@ -207,14 +219,11 @@
 // awaitLoadStart waits until the engine may load. It returns false if a newer version
 // becomes complete meanwhile, so that the engine loads only that one.
 func (l *Loader) awaitLoadStart(ctx context.Context, model string, version int64) bool {
-	n := l.target(model)
-	if n.Version != version {
-		n.Since = time.Time{}
-	}
+	since := l.State.TargetSince(model, version)
 	start := timekeeper.Now()
 	if s, _ := l.Reporter.State(); s.Versions[model] > 0 {
 		place := place(l.State.Endpoints(), l.Service, l.Address)
-		start = loadStart(place, n.Since, start, l.MaxVersionDelay)
+		start = loadStart(place, since, start, l.MaxVersionDelay)
 	}
 	for timekeeper.Now().Before(start) && l.complete.Load() == version {
 		if s, ok := l.Reporter.State(); !ok || s.Versions[model] == 0 {
@@ -230,18 +239,10 @@
 	l.Reporter.SetClosed(ctx, true)
 	defer l.Reporter.SetClosed(ctx, false)
 	_ = sleeper.Sleep(ctx, closeNotice)
-	if err := l.stage(ctx, e.Model, m); err != nil {
-		return err
-	}
-	cut := l.State.Table().MayCut(l.Service) && l.awaitStreams(ctx)
-	state, known := l.Reporter.State()
-	if !known {
-		return fail("order", classifier.Unavailable, errors.New("the engine doesn't answer"))
-	}
-	began := time.Now()
-	err := l.Replica.Start(ctx, e.Model, version, state.Orders, cut)
-	l.Log.Info().Int64("version", version).Int64("orders", state.Orders).Bool("cut", cut).AnErr("refusal", err).Msg("load-ordered")
-	if err != nil && classifier.Of(err) != classifier.OutcomeUnknown {
+	l.staging.Lock()
+	began, state, err := l.start(ctx, e, version, m)
+	l.staging.Unlock()
+	if err != nil {
 		return err
 	}
 	limit := began.Add(e.Warm + loadMargin)
@@ -261,6 +262,26 @@
 	return fail("load", classifier.Timeout, errors.Newf("version %d is not loaded after %s", version, time.Since(began)))
 }
 
+// start stages the version and sends the order. It returns when it sent the order and
+// the engine's state before; the order may have been accepted unless err is set.
+func (l *Loader) start(ctx context.Context, e *resolver.Engine, version int64, m *manifest) (time.Time, connector.ReplicaReport, error) {
+	if err := l.stage(ctx, e.Model, m); err != nil {
+		return time.Time{}, connector.ReplicaReport{}, err
+	}
+	cut := l.State.Table().MayCut(l.Service) && l.awaitStreams(ctx)
+	state, known := l.Reporter.State()
+	if !known {
+		return time.Time{}, state, fail("order", classifier.Unavailable, errors.New("the engine doesn't answer"))
+	}
+	began := time.Now()
+	err := l.Replica.Start(ctx, e.Model, version, state.Orders, cut)
+	l.Log.Info().Int64("version", version).Int64("orders", state.Orders).Bool("cut", cut).AnErr("refusal", err).Msg("load-ordered")
+	if classifier.Of(err) == classifier.OutcomeUnknown {
+		err = nil
+	}
+	return began, state, err
+}
+
 // awaitStreams waits up to streamGrace for running requests to end, and reports whether
 // some are still running. Cutting these is the lesser harm: they resume at another
 // engine, while an engine that waits for them reads no prompts for seconds.
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -52,7 +52,6 @@
 	orders int64
 	// beforeRead, if set, is called with the staged pieces before each read of one.
 	beforeRead func(staged map[int][]byte)
-	reads      int
 	loads      []int64
 	// active is the number of running streams; cut reports whether the last load cut
 	// them.
@@ -74,7 +73,6 @@
 		Staged: func(_ context.Context, _ string, n int) ([]byte, error) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			e.reads++
 			if e.beforeRead != nil {
 				e.beforeRead(e.staged)
 			}
@@ -189,7 +187,7 @@
 		DecodeEndpoint: func(key string, _ []byte) (*observer.Endpoint, error) {
 			return &observer.Endpoint{ID: key, Service: "s", Address: engineAddress, Domain: "a"}, nil
 		},
-		Now: time.Now, Log: zerolog.Nop(),
+		Now: timekeeper.Now, Log: zerolog.Nop(),
 	}
 	f.put("config", "x")
 	f.state.ApplyEndpoints([]connector.Item{{Key: "e1", Value: []byte("x"), Offset: 1}}, true)
@@ -219,6 +217,12 @@
 	f.closed = f.closed || r.Closed
 }
 
+func (f *fixture) isClosed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closed
+}
+
 func (f *fixture) put(key, v string) {
 	f.offset++
 	f.state.ApplyOperator([]connector.Item{{Key: key, Value: []byte(v), Offset: f.offset}}, timekeeper.Now())
@@ -276,8 +280,8 @@
 	f := newFixture()
 	corrupted := 0
 	f.engine.beforeRead = func(staged map[int][]byte) {
-		// All pieces were staged and read back once; this is the read-back before the order.
-		if f.engine.reads > 2*pieces && corrupted < 2 && len(staged) == pieces {
+		// Once the engine is closed, this is the read-back right before the order.
+		if f.isClosed() && corrupted < 2 && len(staged) == pieces {
 			corrupted++
 			staged[corrupted][9]++
 		}
--- a/loader/spread.go
+++ b/loader/spread.go
@@ -22,6 +22,9 @@
 type manifest struct {
 	version recorder.Version
 	*recorder.Manifest
+	// staged holds, for each piece, whether it was staged while others were still being
+	// fetched. Only stageEarlyStep uses it.
+	staged []bool
 }
 
 // piece identifies a piece at the origin.
@@ -51,19 +54,31 @@
 	}
 	if s, ok := l.Reporter.State(); ok && s.Versions[e.Model] >= n.Version {
 		// The engine already serves the version; its staged pieces are only for peers.
-		l.complete.Store(n.Version)
+		l.setComplete(n.Version)
 		return nil
 	}
 	began := time.Now()
+	l.fetching.Store(n.Version)
+	defer l.fetching.Store(0)
 	if done, err := l.fetch(ctx, e, n, m); !done {
 		return err
 	}
 	l.Log.Info().Int64("version", n.Version).Dur("fetch-ms", time.Since(began)).
 		Int64("received-bytes", l.fetcher.Stats().TotalReceived()).Msg("version-fetched")
-	l.complete.Store(n.Version)
+	l.setComplete(n.Version)
 	return nil
 }
 
+// setComplete records that the store has all pieces of a version.
+func (l *Loader) setComplete(version int64) {
+	for {
+		old := l.complete.Load()
+		if old >= version || l.complete.CompareAndSwap(old, version) {
+			return
+		}
+	}
+}
+
 // connect makes a fetcher for the origin if its address changed.
 func (l *Loader) connect(o *resolver.Service) {
 	if l.origin == o.Origin {
@@ -143,7 +158,7 @@
 	if _, err := l.Store.Keep(d, b); err != nil {
 		return nil, err
 	}
-	m := &manifest{Manifest: r, version: recorder.Version{
+	m := &manifest{Manifest: r, staged: make([]bool, len(r.Chunks)), version: recorder.Version{
 		Model: recorder.Name(e.Model), Name: recorder.Name(strconv.FormatInt(version, 10)),
 		Manifest: d, Digest: r.Digest, Size: r.Size,
 	}}
@@ -216,7 +231,11 @@
 	go func() {
 		for work.Err() == nil {
 			if newer := l.target(e.Model); newer.Version > n.Version && l.yields(e, n, timekeeper.Now()) {
-				l.Log.Info().Int64("version", n.Version).Int64("newer", newer.Version).Msg("version-superseded")
+				spread := l.isSpread(n, timekeeper.Now())
+				l.Log.Info().Int64("version", n.Version).Int64("newer", newer.Version).Bool("spread", spread).Msg("version-superseded")
+				if spread {
+					l.superseded.Store(n.Version)
+				}
 				cancel()
 			}
 			_ = sleeper.Sleep(work, pollInterval)
--- /dev/null
+++ b/loader/superseded.go
@@ -0,0 +1,85 @@
+package loader
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
+	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
+	"github.com/eelgrassdrift/eelgrassdrift/observer"
+	"github.com/eelgrassdrift/eelgrassdrift/recorder"
+	"github.com/eelgrassdrift/eelgrassdrift/resolver"
+)
+
+// originDelay is the time from the naming of a version to its first piece from the
+// origin.
+const originDelay = 300 * time.Millisecond
+
+// isSpread reports whether the origin has had the time to send the whole version. If it
+// hasn't, the other instances lack pieces too, and fetching the rest would only take
+// bandwidth from the newer version.
+func (l *Loader) isSpread(n observer.TargetVersions, now time.Time) bool {
+	e, o := l.engine()
+	if e == nil || o.OriginLink <= 0 || n.Since.IsZero() {
+		return false
+	}
+	sending := time.Duration(float64(int64(e.Chunks)*e.ChunkSize) / o.OriginLink * float64(time.Second))
+	return now.Sub(n.Since) >= originDelay+sending
+}
+
+// supersededStep fetches the rest of a superseded version from other instances. If the
+// origin becomes unavailable before it has sent the newer version, the superseded one is
+// the only one that may be served once the grace period of the versions before it ends.
+func (l *Loader) supersededStep(ctx context.Context) error {
+	version := l.superseded.Load()
+	e, o := l.engine()
+	if version == 0 || e == nil {
+		return nil
+	}
+	l.mu.Lock()
+	m := l.manifests[version]
+	l.mu.Unlock()
+	if m == nil || !l.isStillUseful(e, version) {
+		l.superseded.CompareAndSwap(version, 0)
+		return nil
+	}
+	work, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		for work.Err() == nil && l.isStillUseful(e, version) {
+			_ = sleeper.Sleep(work, pollInterval)
+		}
+		cancel()
+	}()
+	began := time.Now()
+	if _, err := l.NewFetcher(withoutOrigin(), o.Domain).Fetch(work, m.version, nil); err != nil {
+		if work.Err() != nil {
+			return nil
+		}
+		return err
+	}
+	l.Log.Info().Int64("version", version).Dur("fetch-ms", time.Since(began)).Msg("superseded-version-fetched")
+	l.setComplete(version)
+	return nil
+}
+
+// isStillUseful reports whether an engine could serve a superseded version: it is newer
+// than what the engine serves, no newer one is complete, and its grace period lasts.
+func (l *Loader) isStillUseful(e *resolver.Engine, version int64) bool {
+	s, known := l.Reporter.State()
+	return known && s.Versions[e.Model] < version && l.complete.Load() < version &&
+		l.State.Target(e.Model, l.MaxVersionDelay).Floor <= version
+}
+
+// withoutOrigin returns an origin that never responds. The real one is left to the newer
+// version.
+func withoutOrigin() *connector.Origin {
+	return &connector.Origin{Fetch: func(ctx context.Context, _ recorder.Digest) (io.ReadCloser, int64, error) {
+		<-ctx.Done()
+		return nil, 0, fail("fetch piece of a superseded version", classifier.Unavailable, errors.WithStack(context.Cause(ctx)))
+	}}
+}
--- a/resolver/configuration.go
+++ b/resolver/configuration.go
@@ -86,6 +86,8 @@
 	// Origin is the address of the origin server of weights; the zero value for a
 	// service that serves requests.
 	Origin netip.AddrPort
+	// OriginLink is the rate of an origin's link in bytes per second; 0 if it isn't known.
+	OriginLink float64
 	// Domain is the failure domain of an origin.
 	Domain string
 }
