observer: pause between reads at the platform if all readers failed

Cause: found by reading. A gateway that isn't a reader went on with the short pause of reads at a reader after it had fallen back to the platform: up to 50 calls a second for each gateway. Change: the pause follows from where the last read succeeded. Test: TestSharedReader, which failed for the fallback cases.

--- a/observer/shared.go
+++ b/observer/shared.go
@@ -22,8 +22,8 @@
 // SharedReader reads a table through a few readers for each failure domain, so that the
 // calls to the platform grow with the failure domains and not with the gateways. A
 // process that is a reader reads from the platform. Another one reads from the readers,
-// and from the platform if they fail or their data is old. Its fields are set before the
-// first read.
+// and from the platform if they fail or their data is old. It is used by one Follower;
+// its fields are set before the first read.
 type SharedReader struct {
 	// Platform reads changes from the platform.
 	Platform func(ctx context.Context, from uint64, wait time.Duration) (connector.Changes, error)
@@ -33,28 +33,34 @@
 	IsReader func() bool
 	// MaxAge is the age of the readers' data from which it is old.
 	MaxAge time.Duration
+
+	// lastFromReader reports whether the last read succeeded at a reader.
+	lastFromReader bool
 }
 
 // MaxReadTime is the time that a Follower has to allow for a read.
 const MaxReadTime = readerTimeout
 
-// Pace returns the pause until the next read, where interval is the pause of a reader. A
-// reader sends each change to the others at once, so these read again soon.
+// Pace returns the pause until the next read, where interval is the pause between two
+// reads at the platform. A reader sends each change at once, so the next read at a reader
+// follows soon.
 func (s *SharedReader) Pace(interval time.Duration) time.Duration {
-	if s.IsReader() {
-		return interval
+	if s.lastFromReader {
+		return readerPause
 	}
-	return readerPause
+	return interval
 }
 
 // Read reads changes as connector.Table.Read does. It ignores the wait of a Follower and
 // uses its own: none at the platform, readerWait at a reader.
 func (s *SharedReader) Read(ctx context.Context, from uint64, _ time.Duration) (connector.Changes, error) {
+	s.lastFromReader = false
 	if from == 0 || s.IsReader() {
 		return s.Platform(ctx, from, 0)
 	}
 	c, err := s.readFromReader(ctx, from)
 	if err == nil {
+		s.lastFromReader = true
 		return c, nil
 	}
 	c, platformErr := s.Platform(ctx, from, 0)
--- a/observer/shared_test.go
+++ b/observer/shared_test.go
@@ -61,6 +61,11 @@
 			if want := map[string]uint64{"reader": 1, "platform": 2}[c.want]; got.Next != want {
 				t.Errorf("read from next %d, want the %s", got.Next, c.want)
 			}
+			// Without the pause, gateways whose readers failed would call the platform in
+			// a tight loop.
+			if pause := s.Pace(time.Second); (pause == time.Second) != (c.want == "platform") {
+				t.Errorf("pause %s after a read from the %s", pause, c.want)
+			}
 		})
 	}
 }
