direct: gateways of a large failure domain share all three tables

Change: the two readers of a failure domain with 8 gateways or more now also read the operators' records and the gateways' for the others. A reader waits 1 s at the store; another gateway notices within 0.8 s that a reader stopped and within 2.1 s that one is cut off from the store, and then reads the store itself, where 4 s are allowed. Peers pass on the date of records, so that the grace period of a version is the same as at the reader. Small failure domains read as before.

Also corrected: the wait of the shared list applied to small failure domains and doubled the time to notice a dead connection there.

Tests: TestSharedReader, TestSharedReaderWithoutReaders, TestDateFromReader.

--- a/connector/table.go
+++ b/connector/table.go
@@ -26,6 +26,8 @@
 	// Age is the time since the platform confirmed the data in this result; 0 if the
 	// result comes from the platform itself.
 	Age time.Duration `json:"age,omitempty"`
+	// Written is a time within which all Items were written; 0 if it isn't known.
+	Written time.Duration `json:"written,omitempty"`
 }
 
 // Table is a topic of the platform's log that keeps the newest record of each key.
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -47,9 +47,18 @@
 	// maxListAgeFactor times the interval is the age of a reader's list from which a
 	// gateway reads the platform itself.
 	maxListAgeFactor = 1.25
-	// readersPerDomain is the number of gateways of a failure domain that read the list
-	// of endpoints from the platform for the others, one of which may be lost. In a
-	// failure domain with fewer than minSharingGateways, each gateway reads it.
+	// sharedDecisionWait is the long-poll time of a read of the operator table at the
+	// platform by a reader, and maxDecisionAge the age of a reader's table from which a
+	// gateway reads the platform itself. Together with the wait at a reader they stay
+	// within the time in which a configuration has to be in force, 4 s in a fleet that is
+	// large enough for readers.
+	sharedDecisionWait = time.Second
+	maxDecisionAge     = 1600 * time.Millisecond
+	// maxGatewayAge is the same for the gateway table.
+	maxGatewayAge = 10 * time.Second
+	// readersPerDomain is the number of gateways of a failure domain that read the tables
+	// from the platform for the others; one of them may be lost. In a failure domain with
+	// fewer than minSharingGateways, each gateway reads them.
 	readersPerDomain   = 2
 	minSharingGateways = 8
 	// agentListInterval is the pause between two reads of the endpoint list at an agent,
@@ -184,43 +193,45 @@
 			f.notify(len(u.Fresh) > 0)
 		},
 	}
+	operators := &observer.Follower{
+		Name: operatorTable, Table: &f.operators, Sources: f.sources(operatorTable, f.tables.Operators, agent),
+		Wait: decisionWait, Pace: decisionInterval, Log: f.log, Reconnect: f.client.CloseIdleConnections,
+		Earliest: f.earliest,
+		Changed: func(u observer.Update) {
+			f.state.ApplyOperator(u.Fresh, u.After)
+			f.notify(len(u.Fresh) > 0)
+		},
+	}
+	gateways := &observer.Follower{
+		Name: gatewayTable, Table: &f.gateways, Sources: f.sources(gatewayTable, f.tables.Gateways, agent),
+		Wait: gatewayWait, Pace: gatewayInterval, Log: f.log,
+		Changed: func(u observer.Update) { f.state.ApplyGateways(u.Fresh) },
+	}
 	if !agent {
 		interval := time.Duration(float64(f.drain) * listIntervalShare)
-		r := f.sharedReader(endpointTable, f.tables.Endpoints, time.Duration(float64(interval)*maxListAgeFactor))
-		list.Sources[0].Read, list.Wait = r.Read, observer.MaxReadTime
-		list.PaceFunc = func() time.Duration { return r.Pace(interval) }
+		f.share(list, &observer.SharedReader{Interval: interval, MaxAge: time.Duration(float64(interval) * maxListAgeFactor)})
+		f.share(operators, &observer.SharedReader{
+			Wait: decisionWait, SharedWait: sharedDecisionWait, Interval: decisionInterval, MaxAge: maxDecisionAge,
+		})
+		f.share(gateways, &observer.SharedReader{
+			Wait: gatewayWait, SharedWait: gatewayWait, Interval: gatewayInterval, MaxAge: maxGatewayAge,
+		})
 	}
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error {
-		return (&observer.Follower{
-			Name: operatorTable, Table: &f.operators, Sources: f.sources(operatorTable, f.tables.Operators, agent),
-			Wait: decisionWait, Pace: decisionInterval, Log: f.log, Reconnect: f.client.CloseIdleConnections,
-			Earliest: f.earliest,
-			Changed: func(u observer.Update) {
-				f.state.ApplyOperator(u.Fresh, u.After)
-				f.notify(len(u.Fresh) > 0)
-			},
-		}).Run(ctx)
-	})
 	g.Go(func() error { return list.Run(ctx) })
-	g.Go(func() error {
-		return (&observer.Follower{
-			Name: gatewayTable, Table: &f.gateways, Sources: f.sources(gatewayTable, f.tables.Gateways, agent),
-			Wait: gatewayWait, Pace: gatewayInterval, Log: f.log,
-			Changed: func(u observer.Update) { f.state.ApplyGateways(u.Fresh) },
-		}).Run(ctx)
-	})
+	g.Go(func() error { return operators.Run(ctx) })
+	g.Go(func() error { return gateways.Run(ctx) })
 	return g.Wait()
 }
 
-// sharedReader returns the reader of a table that the gateways of this failure domain
-// share.
-func (f *follower) sharedReader(name string, t *connector.Table, maxAge time.Duration) *observer.SharedReader {
-	peers := &observer.PeerReader{Table: name, Client: f.client, Now: time.Now, Peers: f.readers}
-	return &observer.SharedReader{
-		Platform: t.Read, Readers: peers.Read, MaxAge: maxAge,
-		IsReader: func() bool { l := f.readers(); return len(l) == 0 || slices.Contains(l, f.self) },
-	}
+// share makes a gateway's follower read through the readers of its failure domain. The
+// first source of the follower is the platform.
+func (f *follower) share(o *observer.Follower, r *observer.SharedReader) {
+	peers := &observer.PeerReader{Table: o.Name, Client: f.client, Now: time.Now, Peers: f.readers}
+	r.Platform, r.Readers = o.Sources[0].Read, peers.Read
+	r.IsShared = func() bool { return len(f.readers()) > 0 }
+	r.IsReader = func() bool { return slices.Contains(f.readers(), f.self) }
+	o.Sources[0].Read, o.WaitFunc, o.PaceFunc = r.Read, r.MaxWait, r.Pace
 }
 
 // readers returns the addresses of the gateways of this failure domain that read the
--- a/observer/follower.go
+++ b/observer/follower.go
@@ -72,8 +72,8 @@
 	Wait time.Duration
 	// Pace is the pause after each successful read.
 	Pace time.Duration
-	// PaceFunc replaces Pace if it isn't nil.
-	PaceFunc func() time.Duration
+	// WaitFunc and PaceFunc replace Wait and Pace unless they are nil.
+	WaitFunc, PaceFunc func() time.Duration
 	// Changed is called after each successful read.
 	Changed func(Update)
 	// Earliest returns the earliest time of an event that the process began to wait for
@@ -122,6 +122,9 @@
 			continue
 		}
 		wait := f.Wait
+		if f.WaitFunc != nil {
+			wait = f.WaitFunc()
+		}
 		if i > 0 {
 			wait = min(wait, maxPeerWait)
 		} else if f.firstSourceLost {
@@ -168,10 +171,12 @@
 	case u.After.IsZero():
 	case isCurrent || f.Earliest == nil:
 		u.After = arrived
+	case c.Written > 0 && arrived.Add(-c.Written).After(u.After):
+		u.After = arrived.Add(-c.Written)
 	case f.lastFailure.After(u.After):
 		u.After = f.lastFailure
 	}
-	u.Fresh = f.Table.Apply(c, arrived)
+	u.Fresh = f.Table.apply(c, arrived, u.After)
 	f.Changed(u)
 }
 
--- a/observer/shared.go
+++ b/observer/shared.go
@@ -13,8 +13,9 @@
 	// readerWait is how long a read at a reader waits for a change. It is short, so that
 	// a reader that stopped is noticed soon.
 	readerWait = 500 * time.Millisecond
-	// readerTimeout bounds a read at a reader, which is in the same failure domain.
-	readerTimeout = readerWait + 300*time.Millisecond
+	// readerMargin is the time for a response of a reader beyond its wait. Readers are in
+	// the same failure domain.
+	readerMargin = 300 * time.Millisecond
 	// readerPause is the pause between two reads at a reader.
 	readerPause = 20 * time.Millisecond
 )
@@ -29,41 +30,58 @@
 	Platform func(ctx context.Context, from uint64, wait time.Duration) (connector.Changes, error)
 	// Readers reads changes from the readers.
 	Readers func(ctx context.Context, from uint64, wait time.Duration) (connector.Changes, error)
+	// IsShared reports whether there are readers. Otherwise each process reads from the
+	// platform.
+	IsShared func() bool
 	// IsReader reports whether this process is a reader.
 	IsReader func() bool
-	// MaxAge is the age of the readers' data from which it is old.
+	// Wait is how long a read at the platform waits for a change if there are no readers,
+	// and SharedWait if there are.
+	Wait, SharedWait time.Duration
+	// Interval is the pause between two reads at the platform.
+	Interval time.Duration
+	// MaxAge is the age of the readers' data from which it is old. It exceeds the sum of
+	// SharedWait and Interval.
 	MaxAge time.Duration
 
 	// lastFromReader reports whether the last read succeeded at a reader.
 	lastFromReader bool
 }
 
-// MaxReadTime is the time that a Follower has to allow for a read.
-const MaxReadTime = readerTimeout
+// MaxWait returns the longest time that Read waits, beside the time for a response of the
+// platform.
+func (s *SharedReader) MaxWait() time.Duration {
+	if s.IsShared() {
+		return readerWait + readerMargin + s.SharedWait
+	}
+	return s.Wait
+}
 
-// Pace returns the pause until the next read, where interval is the pause between two
-// reads at the platform. A reader sends each change at once, so the next read at a reader
-// follows soon.
-func (s *SharedReader) Pace(interval time.Duration) time.Duration {
+// Pace returns the pause until the next read. A reader sends each change at once, so the
+// next read at a reader follows soon.
+func (s *SharedReader) Pace() time.Duration {
 	if s.lastFromReader {
 		return readerPause
 	}
-	return interval
+	return s.Interval
 }
 
-// Read reads changes as connector.Table.Read does. It ignores the wait of a Follower and
-// uses its own: none at the platform, readerWait at a reader.
-func (s *SharedReader) Read(ctx context.Context, from uint64, _ time.Duration) (connector.Changes, error) {
+// Read reads changes as connector.Table.Read does; wait is at most MaxWait.
+func (s *SharedReader) Read(ctx context.Context, from uint64, wait time.Duration) (connector.Changes, error) {
 	s.lastFromReader = false
+	if !s.IsShared() {
+		return s.Platform(ctx, from, min(wait, s.Wait))
+	}
+	platformWait := min(wait, s.SharedWait)
 	if from == 0 || s.IsReader() {
-		return s.Platform(ctx, from, 0)
+		return s.Platform(ctx, from, platformWait)
 	}
-	c, err := s.readFromReader(ctx, from)
+	c, err := s.readFromReader(ctx, from, min(wait, readerWait))
 	if err == nil {
 		s.lastFromReader = true
 		return c, nil
 	}
-	c, platformErr := s.Platform(ctx, from, 0)
+	c, platformErr := s.Platform(ctx, from, platformWait)
 	if platformErr != nil {
 		return c, errors.CombineErrors(platformErr, err)
 	}
@@ -71,10 +89,10 @@
 }
 
 // readFromReader reads from a reader and fails if its data is old.
-func (s *SharedReader) readFromReader(ctx context.Context, from uint64) (connector.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, readerTimeout)
+func (s *SharedReader) readFromReader(ctx context.Context, from uint64, wait time.Duration) (connector.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readerMargin)
 	defer cancel()
-	c, err := s.Readers(ctx, from, readerWait)
+	c, err := s.Readers(ctx, from, wait)
 	if err == nil && c.Age > s.MaxAge {
 		err = errors.Newf("the data of the reader is %s old", c.Age)
 	}
--- a/observer/shared_test.go
+++ b/observer/shared_test.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 )
 
@@ -40,7 +41,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := &observer.SharedReader{
-				MaxAge: 2 * time.Second, IsReader: func() bool { return c.isReader },
+				MaxAge: 2 * time.Second, Interval: time.Second,
+				IsShared: func() bool { return true }, IsReader: func() bool { return c.isReader },
 				Platform: func(ctx context.Context, _ uint64, _ time.Duration) (connector.Changes, error) {
 					return connector.Changes{Next: 2}, ctx.Err()
 				},
@@ -52,9 +54,9 @@
 					return c.readers(ctx)
 				},
 			}
-			ctx, cancel := context.WithTimeout(t.Context(), observer.MaxReadTime+700*time.Millisecond)
+			ctx, cancel := context.WithTimeout(t.Context(), s.MaxWait()+700*time.Millisecond)
 			defer cancel()
-			got, err := s.Read(ctx, c.from, 0)
+			got, err := s.Read(ctx, c.from, s.MaxWait())
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -63,7 +65,7 @@
 			}
 			// Without the pause, gateways whose readers failed would call the platform in
 			// a tight loop.
-			if pause := s.Pace(time.Second); (pause == time.Second) != (c.want == "platform") {
+			if pause := s.Pace(); (pause == time.Second) != (c.want == "platform") {
 				t.Errorf("pause %s after a read from the %s", pause, c.want)
 			}
 		})
@@ -75,7 +77,7 @@
 func TestSharedReaderWithoutPlatform(t *testing.T) {
 	away := errors.New("away")
 	s := &observer.SharedReader{
-		IsReader: func() bool { return false },
+		IsShared: func() bool { return true }, IsReader: func() bool { return false },
 		Platform: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
 			return connector.Changes{}, away
 		},
@@ -83,7 +85,47 @@
 			return connector.Changes{Age: time.Second}, nil
 		},
 	}
-	if _, err := s.Read(t.Context(), 5, 0); !errors.Is(err, away) {
+	if _, err := s.Read(t.Context(), 5, s.MaxWait()); !errors.Is(err, away) {
 		t.Errorf("error %v, want that of the platform", err)
 	}
 }
+
+// Without readers each gateway must read the platform, and wait there as long as before.
+func TestSharedReaderWithoutReaders(t *testing.T) {
+	var waited time.Duration
+	s := &observer.SharedReader{
+		Wait: 2 * time.Second, SharedWait: time.Second, Interval: 20 * time.Millisecond, IsShared: func() bool { return false },
+		Platform: func(_ context.Context, _ uint64, wait time.Duration) (connector.Changes, error) {
+			waited = wait
+			return connector.Changes{}, nil
+		},
+	}
+	if _, err := s.Read(t.Context(), 5, s.MaxWait()); err != nil {
+		t.Fatal(err)
+	}
+	if waited != 2*time.Second || s.MaxWait() != 2*time.Second || s.Pace() != 20*time.Millisecond {
+		t.Errorf("waited %s of %s, pause %s", waited, s.MaxWait(), s.Pace())
+	}
+}
+
+// A gateway that reads a version from a reader must date it as the reader did, also when
+// the reader learned of it late.
+func TestDateFromReader(t *testing.T) {
+	reads := 0
+	f := &observer.Follower{
+		Sources: []observer.Source{{Name: "platform", Read: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
+			reads++
+			c := items(uint64(reads))
+			c.Age, c.Written = time.Second, 600*time.Millisecond
+			return c, nil
+		}}},
+		Earliest: func(time.Time) time.Time { return timekeeper.Now() },
+	}
+	u := readOnce(t, f, 2)
+	if d := timekeeper.Now().Sub(u.After); d < 600*time.Millisecond || d > 800*time.Millisecond {
+		t.Errorf("dated %s ago, want 600 ms", d)
+	}
+	if c := f.Table.Since(2); c.Written < 600*time.Millisecond || c.Written > 900*time.Millisecond {
+		t.Errorf("passed on as written %s ago, want 600 ms", c.Written)
+	}
+}
--- a/observer/table.go
+++ b/observer/table.go
@@ -15,6 +15,9 @@
 	// items also holds deleted keys, as items without a value, so that an older record
 	// can't restore them.
 	items map[string]connector.Item
+	// dates holds for each key a time before which its item was not written; it lacks the
+	// keys of items whose date isn't known.
+	dates map[string]time.Time
 	// next is the offset after the newest record that the replica covers.
 	next uint64
 	// confirmed is when the platform last responded to a read of the table, by this
@@ -27,6 +30,12 @@
 // Apply merges the changes that arrived at the given time, on the clock of package
 // timekeeper, and returns the items that were newer than those of the replica. A full table also deletes the keys that it lacks, unless their records are newer.
 func (t *Table) Apply(c connector.Changes, arrived time.Time) []connector.Item {
+	return t.apply(c, arrived, time.Time{})
+}
+
+// apply does the same for items that were not written before the given time; the zero
+// time means that it isn't known.
+func (t *Table) apply(c connector.Changes, arrived, after time.Time) []connector.Item {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.items == nil {
@@ -50,6 +59,7 @@
 			}
 		}
 	}
+	t.setDates(fresh, after)
 	t.next = max(t.next, c.Next)
 	if at := arrived.Add(-c.Age); at.After(t.confirmed) {
 		t.confirmed = at
@@ -61,6 +71,19 @@
 	return fresh
 }
 
+func (t *Table) setDates(fresh []connector.Item, after time.Time) {
+	if t.dates == nil {
+		t.dates = make(map[string]time.Time)
+	}
+	for _, i := range fresh {
+		if after.IsZero() {
+			delete(t.dates, i.Key)
+		} else {
+			t.dates[i.Key] = after
+		}
+	}
+}
+
 // Next returns the offset from which the next read has to start.
 func (t *Table) Next() uint64 {
 	t.mu.Lock()
@@ -81,12 +104,20 @@
 func (t *Table) Since(from uint64) connector.Changes {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := connector.Changes{Next: t.next, Age: timekeeper.Now().Sub(t.confirmed)}
+	now := timekeeper.Now()
+	c := connector.Changes{Next: t.next, Age: now.Sub(t.confirmed)}
+	oldest := now
 	for _, i := range t.items {
 		if i.Offset >= from {
 			c.Items = append(c.Items, i)
+			if d := t.dates[i.Key]; d.Before(oldest) {
+				oldest = d
+			}
 		}
 	}
+	if !oldest.IsZero() {
+		c.Written = now.Sub(oldest)
+	}
 	return c
 }
 
