dispatcher: no queue for an older version at the end of its time

An engine reads one prompt after the other, and 16 gateways may each have one there.

Change: in the last tenth of the grace period a request goes to an older version only where the agent reports nothing that waits, this gateway has no prompt pending, and this gateway is one of three that rank first for the endpoint. Agents report what waits at their engine.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -121,6 +121,7 @@
 	if s.Engine != nil {
 		p.model, p.readRate = s.Engine.Model, s.Engine.ReadRate
 		p.target = d.State.Target(p.model, d.Grace)
+		p.lateFloor = d.State.Target(p.model, time.Duration(float64(d.Grace)*lateGraceShare)).Floor
 	}
 }
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -128,9 +128,15 @@
 	port, _ := strconv.Atoi(f[1][1:])
 	v, _ := strconv.ParseInt(f[2], 10, 64)
 	load, _ := strconv.Atoi(f[3])
+	queued := 0
+	for _, a := range f[4:] {
+		if k, v, _ := strings.Cut(a, "="); k == "queued" {
+			queued, _ = strconv.Atoi(v)
+		}
+	}
 	w.d.Report(dispatcher.Report{
 		Address:  netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(port)),
-		Versions: map[string]int64{"m": v}, Load: load, Closed: slices.Contains(f, "closed"),
+		Versions: map[string]int64{"m": v}, Load: load, Queued: queued, Closed: slices.Contains(f, "closed"),
 	})
 }
 
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -51,6 +51,8 @@
 	Closed bool `json:"closed,omitempty"`
 	// Load is the number of requests of all gateways at the endpoint.
 	Load int `json:"load"`
+	// Queued is the number of these that the endpoint hasn't begun.
+	Queued int `json:"queued,omitempty"`
 }
 
 // node is an endpoint as this gateway sees it. The dispatcher's lock guards it.
--- a/dispatcher/pick.go
+++ b/dispatcher/pick.go
@@ -25,6 +25,11 @@
 	// oldVersionCost is added for an engine that has yet to load a newer version, as
 	// loading may interrupt its streams.
 	oldVersionCost = 0.2
+	// lateGraceShare is the part of the grace period after which a request goes to an
+	// older version only where nothing waits, and lateSenders the number of gateways that
+	// may then send to one endpoint.
+	lateGraceShare = 0.9
+	lateSenders    = 3
 	// failureCost is added for an endpoint with a failure rate of 1.
 	failureCost = 3
 )
@@ -46,7 +51,17 @@
 // isUsable reports whether the endpoint may get the request as soon as it has
 // capacity.
 func (d *Dispatcher) isUsable(p *pool, n *node, r Request, now time.Time) bool {
-	return d.isAllowed(p, n, r, now) && !n.isClosed(now) && !now.Before(n.avoidUntil)
+	return d.isAllowed(p, n, r, now) && !n.isClosed(now) && !now.Before(n.avoidUntil) && d.beginsInTime(p, n, now)
+}
+
+// beginsInTime reports whether a request that is sent to the endpoint now surely begins
+// before the endpoint's version may no longer be used. An engine reads one prompt after
+// the other, so a request that waits there for those of several gateways begins late.
+func (d *Dispatcher) beginsInTime(p *pool, n *node, now time.Time) bool {
+	if p.model == "" || n.version(p.model, now) >= p.lateFloor {
+		return true
+	}
+	return n.prefill == 0 && n.report.Queued == 0 && ranksFirst(n.ID, d.Name, d.gatewayNames, lateSenders)
 }
 
 // pick returns an endpoint that has capacity and a low relative load, or nil.
--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -58,7 +58,9 @@
 	// readRate is the number of prompt tokens that an engine processes per second.
 	readRate float64
 	target   observer.TargetVersions
-	cold     coldShare
+	// lateFloor is the newest version whose predecessors may no longer be used soon.
+	lateFloor int64
+	cold      coldShare
 	// unplaced is a buffer that grantOne reuses.
 	unplaced []unplaced
 	// freed holds the times at which slots became free within rateWindow.
