dispatcher: read the endpoint list again after a pause

Cause: a gateway that was paused for seconds used its list of endpoints as soon as it woke, and sent requests to endpoints that had left meanwhile, or whose addresses others may use.

Change: the dispatcher asks IsCurrent at each pick, between check and send. After a pause of a second or more, which also the first goroutine that runs after it sees, requests wait in the queue until the list has been confirmed, for at most a second. A suspension counts as a pause.

New: TestWaitsForListAfterPause, TestLastPause.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -25,6 +25,9 @@
 	// of a newer one.
 	Grace time.Duration
 	State *observer.State
+	// IsCurrent reports whether State was read after the last pause of the process; nil
+	// means that it always is. Until then requests wait in the queue.
+	IsCurrent func() bool
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -252,3 +252,38 @@
 		t.Errorf("queued %d, in flight %d", s.Queued, s.InFlight)
 	}
 }
+
+// A request that arrives while the process wakes from a pause must wait until the list of
+// endpoints has been read again. It was sent to an endpoint that had left in the pause.
+func TestWaitsForListAfterPause(t *testing.T) {
+	w := newHarness()
+	current := true
+	w.d.IsCurrent = func() bool { return current }
+	w.run("endpoint e1 a 1")
+	w.run("endpoint e2 a 1")
+	w.d.Update()
+	current = false
+	granted := make(chan string, 1)
+	go func() {
+		r := dispatcher.Request{Service: "s", Until: w.now.Add(5 * time.Second), Match: resolver.Match{Route: &resolver.Route{Aim: 400 * time.Millisecond}}}
+		l, err := w.d.Acquire(t.Context(), r)
+		if err != nil {
+			granted <- err.Error()
+			return
+		}
+		granted <- l.Endpoint.ID
+	}()
+	for w.d.Status()[0].Queued == 0 {
+		select {
+		case got := <-granted:
+			t.Fatalf("got %s before the list was read", got)
+		case <-time.After(time.Millisecond):
+		}
+	}
+	current = true
+	w.run("gone e1")
+	w.d.Update()
+	if got := <-granted; got != "e2" {
+		t.Errorf("got %s, want e2", got)
+	}
+}
--- a/dispatcher/pick.go
+++ b/dispatcher/pick.go
@@ -67,6 +67,9 @@
 // pick returns an endpoint that has capacity and a low relative load, or nil.
 // Suspect endpoints are picked only if no other is usable.
 func (d *Dispatcher) pick(p *pool, r Request, now time.Time) *node {
+	if d.IsCurrent != nil && !d.IsCurrent() {
+		return nil
+	}
 	n, others := d.pickAmong(p, r, now, false)
 	if n == nil && !others {
 		n, _ = d.pickAmong(p, r, now, true)
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -30,6 +30,12 @@
 	// maxBeatInterval is the time between two updates from which the process counts as
 	// paused. A loaded process is late by less.
 	maxBeatInterval = 300 * time.Millisecond
+	// minListPause is the length of a pause after which the endpoint list is read again
+	// before it is used. A list may be that old without a pause.
+	minListPause = time.Second
+	// maxListWait is how long requests wait for a new endpoint list after a pause of the
+	// process.
+	maxListWait = time.Second
 	// sweepInterval is the interval at which idle connections are closed.
 	sweepInterval = time.Second
 	// announceRetryInterval is the pause between attempts to write the gateway record.
@@ -145,7 +151,7 @@
 	g.follower.earliest = g.monitor.Earliest
 	g.dispatcher = &dispatcher.Dispatcher{
 		Name: g.Name, Domain: g.Domain, Region: g.Region, Cold: g.Cold, State: g.follower.state,
-		Grace: time.Duration(float64(g.MaxVersionDelay) * graceShare),
+		Grace: time.Duration(float64(g.MaxVersionDelay) * graceShare), IsCurrent: g.isCurrent,
 	}
 	g.front = &forwarder.Handler{
 		Headers: g.Platform.Headers, Dispatcher: g.dispatcher, Transport: &forwarder.Transport{},
@@ -155,6 +161,14 @@
 	return nil
 }
 
+// isCurrent reports whether the endpoint list was read since the last pause of the
+// process. In the pause endpoints may have left, and others may use their addresses. If
+// nothing can be read, the old list is used after maxListWait.
+func (g *Gateway) isCurrent() bool {
+	end, length := g.monitor.LastPause()
+	return length < minListPause || timekeeper.Now().Sub(end) > maxListWait || g.follower.endpoints.Confirmed().After(end)
+}
+
 // retryBurst returns this gateway's part of RetryExtra.
 func (g *Gateway) retryBurst() float64 {
 	return g.RetryExtra / max(minRetryGateways, retryGatewayFactor*float64(g.follower.state.GatewayCount()))
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -37,6 +37,8 @@
 	// pauseStart and pauseEnd are the last pause, together with the pauses that ended
 	// less than mergeTime before it.
 	pauseStart, pauseEnd time.Time
+	// pauseLength is the length of the last pause alone.
+	pauseLength time.Duration
 }
 
 // mergeTime is the time between two pauses below which they count as one. It exceeds
@@ -65,7 +67,27 @@
 	if m.last.Sub(m.pauseEnd) > mergeTime {
 		m.pauseStart = m.last
 	}
-	m.pauseEnd = now
+	m.pauseEnd, m.pauseLength = now, now.Sub(m.last)
+}
+
+// update records a pause that ends with this call, before the first Beat after it, and
+// returns the present time.
+func (m *Monitor) update() time.Time {
+	now := m.now()
+	if !m.last.IsZero() && now.Sub(m.last) > m.Limit {
+		m.recordPause(now)
+		m.last = now
+	}
+	return now
+}
+
+// LastPause returns the end and the length of the last pause; the zero time if there was
+// none.
+func (m *Monitor) LastPause() (end time.Time, length time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.update()
+	return m.pauseEnd, m.pauseLength
 }
 
 // Earliest returns the earliest time of an event that the process began to wait for at
@@ -74,12 +96,7 @@
 func (m *Monitor) Earliest(from time.Time) time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.now()
-	if !m.last.IsZero() && now.Sub(m.last) > m.Limit {
-		// This call runs before the first Beat after the pause.
-		m.recordPause(now)
-		m.last = now
-	}
+	now := m.update()
 	if m.pauseEnd.Before(from) {
 		return now
 	}
--- a/internal/timekeeper/timekeeper_test.go
+++ b/internal/timekeeper/timekeeper_test.go
@@ -49,3 +49,22 @@
 		t.Errorf("%s passed, want 20 ms", d)
 	}
 }
+
+// A pause must be known to the first goroutine that runs after it, before the next beat.
+func TestLastPause(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := &timekeeper.Monitor{Limit: 200 * time.Millisecond, Now: func() time.Time { return now }}
+	m.Beat()
+	if end, _ := m.LastPause(); !end.IsZero() {
+		t.Errorf("a pause until %s without one", end)
+	}
+	now = now.Add(4 * time.Second)
+	woke := now
+	for range 3 {
+		if end, length := m.LastPause(); !end.Equal(woke) || length != 4*time.Second {
+			t.Errorf("pause of %s until %s, want of 4 s until %s", length, end, woke)
+		}
+		m.Beat()
+		now = now.Add(100 * time.Millisecond)
+	}
+}
