--- a/loader/early.go
+++ b/loader/early.go
@@ -21,9 +21,7 @@
 	if e == nil || version == 0 {
 		return nil
 	}
-	l.mu.Lock()
-	m := l.manifests[version]
-	l.mu.Unlock()
+	m := l.manifest(version)
 	if m == nil {
 		return nil
 	}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -159,9 +159,7 @@
 	if e == nil || !known || state.Versions[e.Model] >= version {
 		return nil
 	}
-	l.mu.Lock()
-	m := l.manifests[version]
-	l.mu.Unlock()
+	m := l.manifest(version)
 	if m == nil {
 		return nil
 	}
--- a/loader/spread.go
+++ b/loader/spread.go
@@ -100,9 +100,7 @@
 // learn returns the manifest of a version, with digests from other instances or from
 // the origin. It returns nil if the other instances have to be asked again later.
 func (l *Loader) learn(ctx context.Context, e *resolver.Engine, version int64) (*manifest, error) {
-	l.mu.Lock()
-	m := l.manifests[version]
-	l.mu.Unlock()
+	m := l.manifest(version)
 	if m != nil {
 		return m, nil
 	}
@@ -176,11 +174,16 @@
 	return m, nil
 }
 
-// KnownDigests returns the digests of a version that this instance knows, or nil.
-func (l *Loader) KnownDigests(version int64) [][32]byte {
+// manifest returns the manifest of a version, or nil.
+func (l *Loader) manifest(version int64) *manifest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	m := l.manifests[version]
+	return l.manifests[version]
+}
+
+// KnownDigests returns the digests of a version that this instance knows, or nil.
+func (l *Loader) KnownDigests(version int64) [][32]byte {
+	m := l.manifest(version)
 	if m == nil {
 		return nil
 	}
--- a/loader/superseded.go
+++ b/loader/superseded.go
@@ -40,9 +40,7 @@
 	if version == 0 || e == nil {
 		return nil
 	}
-	l.mu.Lock()
-	m := l.manifests[version]
-	l.mu.Unlock()
+	m := l.manifest(version)
 	if m == nil || !l.isStillUseful(e, version) {
 		l.superseded.CompareAndSwap(version, 0)
 		return nil
