forwarder: parts of events and comments don't keep a stalled stream

The time to the next event was extended by each line, so an endpoint that sent a line or a comment now and then held a stream until the deadline of the call, and a resumable stream was not resumed.

Change: the next event with data is due at a fixed time. Slow but sound streams are as before: each event with data starts the time anew, after it was written to the caller.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -207,13 +207,16 @@
 func (a *attempt) copyEvents() attemptResult {
 	var event bytes.Buffer
 	lines := bufio.NewReaderSize(a.response.Body, bufferSize)
-	id := ""
+	id, hasData := "", false
+	// The next event with data is due at this time. Parts of an event and comments don't
+	// extend it, or a stalled endpoint could hold a stream until its deadline.
+	due := time.Now().Add(a.call.eventTimeout())
 	for {
 		if a.conn.r.Buffered() == 0 {
 			if err := a.call.flush(); err != nil {
 				return unknownOutcome("write to caller", err)
 			}
-			if err := a.conn.SetReadDeadline(time.Now().Add(a.call.eventTimeout())); err != nil {
+			if err := a.conn.SetReadDeadline(due); err != nil {
 				return unknownOutcome("read event", err)
 			}
 		}
@@ -227,6 +230,7 @@
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(v))
 		}
+		hasData = hasData || bytes.HasPrefix(line, []byte("data:"))
 		if len(line) > 0 {
 			continue
 		}
@@ -236,6 +240,10 @@
 		if id != "" {
 			a.call.lastEvent = id
 		}
+		if hasData {
+			due = time.Now().Add(a.call.eventTimeout())
+		}
+		hasData = false
 		event.Reset()
 	}
 }
--- a/forwarder/handler_test.go
+++ b/forwarder/handler_test.go
@@ -169,7 +169,7 @@
 		_, _ = io.WriteString(c, head("200 OK", id, "\r\nhello"))
 		time.Sleep(20 * time.Millisecond)
 		return false
-	case "stream", "cut", "cut-inside", "silent", "pause":
+	case "stream", "cut", "cut-inside", "silent", "pause", "trickle", "comments":
 		return b.stream(c, q, head, name, n)
 	}
 	_, _ = io.WriteString(c, out)
@@ -201,6 +201,13 @@
 	case "silent":
 		time.Sleep(3 * time.Second)
 		return false
+	case "trickle", "comments":
+		part := map[string]string{"trickle": "retry: 9\n", "comments": ": alive\n\n"}[name]
+		for range 10 {
+			time.Sleep(300 * time.Millisecond)
+			chunk(part)
+		}
+		return false
 	}
 	_, _ = io.WriteString(c, "0\r\n\r\n")
 	return true
