--- a/internal/timekeeper/timekeeper_test.go
+++ b/internal/timekeeper/timekeeper_test.go
@@ -13,7 +13,7 @@
 	start := time.Unix(1000, 0)
 	now := start
 	m := &timekeeper.Monitor{Limit: 200 * time.Millisecond, Now: func() time.Time { return now }}
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	beatUntil := func(d time.Duration) {
 		for ; now.Before(at(d)); now = now.Add(50 * time.Millisecond) {
 			m.Beat()
--- a/observer/grace_test.go
+++ b/observer/grace_test.go
@@ -13,16 +13,16 @@
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 )
 
-// readOnce lets a Follower read until the item with the offset arrives and returns the
+// readSecond lets a Follower read until the item with offset 2 arrives and returns the
 // result of that read.
-func readOnce(t *testing.T, f *observer.Follower, offset uint64) observer.Update {
+func readSecond(t *testing.T, f *observer.Follower) observer.Update {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	var last observer.Update
 	f.Name, f.Log, f.Table = "t", zerolog.Nop(), new(observer.Table)
 	f.Changed = func(u observer.Update) {
-		if len(u.Fresh) > 0 && u.Fresh[0].Offset >= offset {
+		if len(u.Fresh) > 0 && u.Fresh[0].Offset >= 2 {
 			last = u
 			cancel()
 		}
@@ -53,7 +53,7 @@
 		}}},
 		Earliest: func(time.Time) time.Time { return pauseStart },
 	}
-	if u := readOnce(t, f, 2); !u.After.Equal(pauseStart) {
+	if u := readSecond(t, f); !u.After.Equal(pauseStart) {
 		t.Errorf("dated %s after the start of the pause, want 0", u.After.Sub(pauseStart))
 	}
 }
@@ -84,7 +84,7 @@
 		Sources:  []observer.Source{outage(&last, time.Second)},
 		Earliest: func(time.Time) time.Time { return timekeeper.Now() },
 	}
-	if d := readOnce(t, f, 2).After.Sub(last); d < 500*time.Millisecond || d > 1100*time.Millisecond {
+	if d := readSecond(t, f).After.Sub(last); d < 500*time.Millisecond || d > 1100*time.Millisecond {
 		t.Errorf("dated %s after the last read before the outage, want about 1 s", d)
 	}
 }
@@ -97,7 +97,7 @@
 		Sources:  []observer.Source{outage(&last, time.Second)},
 		Earliest: func(time.Time) time.Time { return last.Add(100 * time.Millisecond) },
 	}
-	if d := readOnce(t, f, 2).After.Sub(last); d != 100*time.Millisecond {
+	if d := readSecond(t, f).After.Sub(last); d != 100*time.Millisecond {
 		t.Errorf("dated %s after the last read before the pause, want 100 ms", d)
 	}
 }
@@ -114,7 +114,7 @@
 		Pace:     time.Second,
 		Earliest: func(time.Time) time.Time { return timekeeper.Now() },
 	}
-	if u := readOnce(t, f, 2); timekeeper.Now().Sub(u.After) < 900*time.Millisecond {
+	if u := readSecond(t, f); timekeeper.Now().Sub(u.After) < 900*time.Millisecond {
 		t.Errorf("dated %s ago, want the time of the read before", timekeeper.Now().Sub(u.After))
 	}
 }
@@ -132,7 +132,7 @@
 		}}},
 		Earliest: func(time.Time) time.Time { return timekeeper.Now() },
 	}
-	u := readOnce(t, f, 2)
+	u := readSecond(t, f)
 	if d := timekeeper.Now().Sub(u.After); d > 300*time.Millisecond {
 		t.Errorf("dated %s before its arrival, want 0", d)
 	}
--- a/observer/shared_test.go
+++ b/observer/shared_test.go
@@ -121,7 +121,7 @@
 		}}},
 		Earliest: func(time.Time) time.Time { return timekeeper.Now() },
 	}
-	u := readOnce(t, f, 2)
+	u := readSecond(t, f)
 	if d := timekeeper.Now().Sub(u.After); d < 600*time.Millisecond || d > 800*time.Millisecond {
 		t.Errorf("dated %s ago, want 600 ms", d)
 	}
