--- a/distributor/run.go
+++ b/distributor/run.go
@@ -135,13 +135,13 @@
 		result <- err
 		return err
 	})
-	timer := time.NewTicker(r.f.LateDelay)
-	defer timer.Stop()
+	ticker := time.NewTicker(r.f.LateDelay)
+	defer ticker.Stop()
 	for isLate := false; !isLate; isLate = t.receiving.Load() == 0 {
 		select {
 		case err := <-result:
 			return err
-		case <-timer.C:
+		case <-ticker.C:
 		}
 	}
 	select {
--- a/observer/table.go
+++ b/observer/table.go
@@ -28,7 +28,8 @@
 }
 
 // Apply merges the changes that arrived at the given time, on the clock of package
-// timekeeper, and returns the items that were newer than those of the replica. A full table also deletes the keys that it lacks, unless their records are newer.
+// timekeeper, and returns the items that were newer than those of the replica. A full
+// table also deletes the keys that it lacks, unless their records are newer.
 func (t *Table) Apply(c connector.Changes, arrived time.Time) []connector.Item {
 	return t.apply(c, arrived, time.Time{})
 }
