--- a/loader/loader.go
+++ b/loader/loader.go
@@ -217,7 +217,7 @@
 // awaitLoadStart waits until the engine may load. It returns false if a newer version
 // becomes complete meanwhile, so that the engine loads only that one.
 func (l *Loader) awaitLoadStart(ctx context.Context, model string, version int64) bool {
-	since := l.State.TargetSince(model, version)
+	since := l.since(model, version)
 	start := timekeeper.Now()
 	if s, _ := l.Reporter.State(); s.Versions[model] > 0 {
 		place := place(l.State.Endpoints(), l.Service, l.Address)
@@ -232,6 +232,16 @@
 	return ctx.Err() == nil && l.complete.Load() == version
 }
 
+// since returns the time from which the load of a version is scheduled; the zero time if
+// it isn't the target any more. The times of a superseded version may have passed when it
+// is complete, and all engines would load it at once.
+func (l *Loader) since(model string, version int64) time.Time {
+	if n := l.target(model); n.Version == version {
+		return n.Since
+	}
+	return time.Time{}
+}
+
 // order orders the engine to load the version and waits until it serves it.
 func (l *Loader) order(ctx context.Context, e *resolver.Engine, version int64, m *manifest) error {
 	l.Reporter.SetClosed(ctx, true)
--- a/loader/superseded_test.go
+++ b/loader/superseded_test.go
@@ -199,6 +199,18 @@
 	step("not fetched any more", 6)
 }
 
+// Engines must load a superseded version one after the other, from when it is complete.
+// With the times of its own naming, which had passed, all engines closed within 2 s.
+func TestSupersededVersionIsLoadedInTurn(t *testing.T) {
+	l, _, _, _ := newTestLoader(t, "127.0.0.4:1")
+	if got := l.since("m", 2); !got.IsZero() {
+		t.Errorf("the superseded version is scheduled from %s", got)
+	}
+	if got := l.since("m", 3); got.IsZero() {
+		t.Error("the target version isn't scheduled from its naming")
+	}
+}
+
 // The origin of a superseded version never responds, and returns when the fetch ends.
 func TestWithoutOrigin(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
--- a/observer/state.go
+++ b/observer/state.go
@@ -188,21 +188,6 @@
 	Floor int64
 }
 
-// TargetSince returns a time before which a version was not the target of a model; the
-// zero time if it isn't known.
-func (s *State) TargetSince(model string, version int64) time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if h := s.targets[model]; h != nil {
-		for _, v := range *h {
-			if v.version == version {
-				return v.since
-			}
-		}
-	}
-	return time.Time{}
-}
-
 // Target returns the target versions of a model, with Floor for the grace period.
 func (s *State) Target(model string, grace time.Duration) TargetVersions {
 	s.mu.Lock()
