loader: no late load of a superseded version

A superseded version was loaded whenever it was complete.

Change: the load of a superseded version is ordered only within 0.6 of the time of the newer one, also after the wait for its turn; its fetch ends then.

Test: TestSupersededVersionIsNotLoadedLate.

--- a/loader/loader.go
+++ b/loader/loader.go
@@ -156,7 +156,7 @@
 	e, _ := l.engine()
 	state, known := l.Reporter.State()
 	version := l.complete.Load()
-	if e == nil || !known || state.Versions[e.Model] >= version {
+	if e == nil || !known || state.Versions[e.Model] >= version || l.isTooLate(e.Model, version, timekeeper.Now()) {
 		return nil
 	}
 	m := l.manifest(version)
@@ -215,7 +215,8 @@
 }
 
 // awaitLoadStart waits until the engine may load. It returns false if a newer version
-// becomes complete meanwhile, so that the engine loads only that one.
+// becomes complete meanwhile, so that the engine loads only that one, or if it is too
+// late for the version.
 func (l *Loader) awaitLoadStart(ctx context.Context, model string, version int64) bool {
 	since := l.since(model, version)
 	start := timekeeper.Now()
@@ -229,7 +230,7 @@
 		}
 		_ = sleeper.Sleep(ctx, min(pollInterval, start.Sub(timekeeper.Now())))
 	}
-	return ctx.Err() == nil && l.complete.Load() == version
+	return ctx.Err() == nil && l.complete.Load() == version && !l.isTooLate(model, version, timekeeper.Now())
 }
 
 // since returns the time from which the load of a version is scheduled; the zero time if
--- a/loader/superseded.go
+++ b/loader/superseded.go
@@ -10,6 +10,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
@@ -31,6 +32,18 @@
 	return now.Sub(n.Since) >= originDelay+sending
 }
 
+// supersededLoadShare is the part of MaxVersionDelay after the naming of a newer version
+// in which the load of a superseded one may be ordered. Requests that wait at the engine
+// begin when the load ends, which must be before the superseded version is due.
+const supersededLoadShare = 0.6
+
+// isTooLate reports whether a version is superseded and its load would end too late to be
+// of use.
+func (l *Loader) isTooLate(model string, version int64, now time.Time) bool {
+	n := l.target(model)
+	return version < n.Version && now.Sub(n.Since) > time.Duration(float64(l.MaxVersionDelay)*supersededLoadShare)
+}
+
 // supersededStep fetches the rest of a superseded version from other instances. If the
 // origin becomes unavailable before it has sent the newer version, the superseded one is
 // the only one that may be served once the grace period of the versions before it ends.
@@ -66,11 +79,10 @@
 }
 
 // isStillUseful reports whether an engine could serve a superseded version: it is newer
-// than what the engine serves, no newer one is complete, and its grace period lasts.
+// than what the engine serves, no newer one is complete, and it can be loaded in time.
 func (l *Loader) isStillUseful(e *resolver.Engine, version int64) bool {
 	s, known := l.Reporter.State()
-	return known && s.Versions[e.Model] < version && l.complete.Load() < version &&
-		l.State.Target(e.Model, l.MaxVersionDelay).Floor <= version
+	return known && s.Versions[e.Model] < version && l.complete.Load() < version && !l.isTooLate(e.Model, version, timekeeper.Now())
 }
 
 // withoutOrigin returns an origin that never responds. The real one is left to the newer
--- a/loader/superseded_test.go
+++ b/loader/superseded_test.go
@@ -211,6 +211,22 @@
 	}
 }
 
+// A superseded version must not be loaded so late that the load ends after its time: a
+// request that waited for such a load began 20 ms too late on the superseded version.
+func TestSupersededVersionIsNotLoadedLate(t *testing.T) {
+	l, _, _, _ := newTestLoader(t, "127.0.0.4:1")
+	named := l.target("m").Since
+	for _, c := range []struct {
+		version int64
+		after   time.Duration
+		want    bool
+	}{{2, 4700 * time.Millisecond, false}, {2, 4900 * time.Millisecond, true}, {3, 10 * time.Second, false}} {
+		if got := l.isTooLate("m", c.version, named.Add(c.after)); got != c.want {
+			t.Errorf("version %d, %s after the newest was named: too late %t, want %t", c.version, c.after, got, c.want)
+		}
+	}
+}
+
 // The origin of a superseded version never responds, and returns when the fetch ends.
 func TestWithoutOrigin(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
