dispatcher: end the use of older versions earlier under overload

The rule against queues in the last tenth of the grace period looks at the engine's queue only, and begins too late.

Change: the dispatcher measures the time to the first token at engines with an older version, over the last 2 s and with requests that haven't begun, and uses an older version only until 1.5 times that time before MaxVersionDelay; never longer than the grace period, as before.

The older script on grace periods now tells the dispatcher that its requests begin: a request that doesn't begin for 6.9 s ends the use of an older version by the new rule.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -24,7 +24,10 @@
 	// Grace is how long an older version may be used after this gateway learned
 	// of a newer one.
 	Grace time.Duration
-	State *observer.State
+	// MaxVersionDelay is the time after which no request may begin at an older version; 0
+	// means no limit.
+	MaxVersionDelay time.Duration
+	State           *observer.State
 	// IsCurrent reports whether State was read after the last pause of the process; nil
 	// means that it always is. Until then requests wait in the queue.
 	IsCurrent func() bool
@@ -123,8 +126,7 @@
 	p.cold = d.Cold.share(s.ColdRate, d.gateways)
 	if s.Engine != nil {
 		p.model, p.readRate = s.Engine.Model, s.Engine.ReadRate
-		p.target = d.State.Target(p.model, d.Grace)
-		p.lateFloor = d.State.Target(p.model, time.Duration(float64(d.Grace)*lateGraceShare)).Floor
+		d.updateTarget(p)
 	}
 }
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -38,7 +38,7 @@
 	w.state.ApplyOperator([]connector.Item{w.item("config", "config")}, time.Time{})
 	w.d = &dispatcher.Dispatcher{
 		Domain: "a", Region: "ra", State: w.state, Now: w.state.Now,
-		Cold: dispatcher.ColdLimit{Factor: 1.5, Slack: 5}, Grace: 7 * time.Second,
+		Cold: dispatcher.ColdLimit{Factor: 1.5, Slack: 5}, Grace: 7 * time.Second, MaxVersionDelay: 8 * time.Second,
 	}
 	return w
 }
@@ -116,6 +116,10 @@
 		w.report(f)
 	case "send":
 		return w.send(f)
+	case "begun":
+		for _, l := range w.leases[f[1]] {
+			l.PrefillDone()
+		}
 	case "done":
 		return w.done(f)
 	}
--- a/dispatcher/lease.go
+++ b/dispatcher/lease.go
@@ -23,6 +23,9 @@
 	// prefill is the estimated time that the engine takes to process the prompt; 0
 	// once it has.
 	prefill time.Duration
+	sentAt  time.Time
+	// settled is set once the request began or ended.
+	settled bool
 }
 
 // Outcome tells how a lease ended.
@@ -43,9 +46,10 @@
 )
 
 func (d *Dispatcher) lease(p *pool, n *node, r Request, now time.Time) *Lease {
-	l := &Lease{Endpoint: n.Endpoint, Load: n.load(now, d.gateways), d: d, pool: p, node: n}
+	l := &Lease{Endpoint: n.Endpoint, Load: n.load(now, d.gateways), d: d, pool: p, node: n, sentAt: now}
 	if p.model != "" {
 		l.Version = n.version(p.model, now)
+		p.begins.pending = append(p.begins.pending, l)
 	}
 	l.prefill = p.prefillTime(r)
 	n.prefill += l.prefill
@@ -66,6 +70,7 @@
 func (l *Lease) PrefillDone() {
 	l.d.mu.Lock()
 	defer l.d.mu.Unlock()
+	l.settle(true)
 	if l.prefill > 0 {
 		l.finishPrefill()
 		l.d.grant(l.pool)
@@ -77,6 +82,12 @@
 	l.prefill = 0
 }
 
+// settle records that the request began, or that it ended before. Only requests to an
+// older version are measured. The caller must hold the dispatcher's lock.
+func (l *Lease) settle(begun bool) {
+	l.pool.begins.settle(l, begun && l.Version < l.pool.target.Version, l.d.now())
+}
+
 // Done ends the lease and assigns the slot to a queued request, if any. It must be
 // called exactly once.
 func (l *Lease) Done(o Outcome) {
@@ -85,6 +96,7 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	n.inFlight--
+	l.settle(o == Served)
 	l.finishPrefill()
 	switch o {
 	case Served:
--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -60,6 +60,7 @@
 	target   observer.TargetVersions
 	// lateFloor is the newest version whose predecessors may no longer be used soon.
 	lateFloor int64
+	begins    beginDelays
 	cold      coldShare
 	// unplaced is a buffer that grantOne reuses.
 	unplaced []unplaced
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -151,7 +151,8 @@
 	g.follower.earliest = g.monitor.Earliest
 	g.dispatcher = &dispatcher.Dispatcher{
 		Name: g.Name, Domain: g.Domain, Region: g.Region, Cold: g.Cold, State: g.follower.state,
-		Grace: time.Duration(float64(g.MaxVersionDelay) * graceShare), IsCurrent: g.isCurrent,
+		Grace: time.Duration(float64(g.MaxVersionDelay) * graceShare), MaxVersionDelay: g.MaxVersionDelay,
+		IsCurrent: g.isCurrent,
 	}
 	g.front = &forwarder.Handler{
 		Headers: g.Platform.Headers, Dispatcher: g.dispatcher, Transport: &forwarder.Transport{},
