observer, direct: agents start with the first peer that is ready

An agent that starts knows three gateways of its settings: it waited 0.7 s for one that was gone, got 503 from one that had just started, and then read the whole configuration (1,852 routes) from the platform over links that all agents shared. The digests were known to nobody but the origin, which 19 agents asked at once.

Change: an agent reads the gateway table from the platform at its start, and the two other tables from the first gateway near it that responds; from the platform only after 0.4 s. A gateway that has just started is asked again after 0.1 s in place of 1 s. Agents keep the digests that the origin sent in the gateway table, for the two newest versions, so that they come with it.

Tests: TestStartReader, TestStartingPeerIsAskedAgain (failed first: a peer that answered 503 was skipped for 1 s), TestDigests, TestSupersededDigests. In TestFailedPeerIsAskedAgain the failing peer answers 502, since 503 now means that it isn't ready yet; its checks are as they were.

--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -21,6 +21,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/distributor"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
 	"github.com/eelgrassdrift/eelgrassdrift/loader"
+	"github.com/eelgrassdrift/eelgrassdrift/observer"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 )
 
@@ -41,6 +42,8 @@
 	sendTimeout = time.Second
 	// digestTimeout limits a request for digests to one peer.
 	digestTimeout = 300 * time.Millisecond
+	// keepDigestsTimeout limits the writes of digests to the gateway table.
+	keepDigestsTimeout = 2 * time.Second
 )
 
 const (
@@ -141,6 +144,7 @@
 		Service: a.Service, Address: a.Engine, Link: a.Link / bitsPerByte, MaxVersionDelay: a.MaxVersionDelay, State: a.follower.state, Replica: replica,
 		Reporter:   &loader.Reporter{Replica: replica, Address: a.Engine, Send: a.send, Log: a.Log},
 		Digests:    a.digests,
+		Learned:    a.keepDigests,
 		Pieces:     func(o netip.AddrPort) *connector.Pieces { return a.Platform.Pieces(o, a.origin) },
 		NewFetcher: a.newFetcher,
 		Store:      a.chunks, Log: a.Log,
@@ -228,13 +232,17 @@
 	}
 }
 
-// digests asks other instances for the digests of a version: the first digestPeers
+// digests returns the digests of a version from the gateway table. If that lacks them, it
+// asks other instances: the first digestPeers
 // members of this failure domain, and a random one in case these are lost. If none
 // knows them, the first members ask the origin, but only a few of the others do,
 // because the origin accepts only a few dozen connections in all. The error is of kind
 // Refused where the caller has to ask again later, and NotFound where it may ask the
 // origin.
-func (a *Agent) digests(ctx context.Context, _ string, version int64) ([][32]byte, error) {
+func (a *Agent) digests(ctx context.Context, model string, version int64) ([][32]byte, error) {
+	if d := a.follower.state.Digests(model, version); d != nil {
+		return d.Pieces, nil
+	}
 	all := a.members()
 	near := slices.DeleteFunc(slices.Clone(all), func(m distributor.Member) bool { return string(m.FailureDomain) != a.Domain })
 	near = near[:min(len(near), digestPeers)]
@@ -257,6 +265,27 @@
 	return nil, &loader.Error{Op: "ask for digests", Kind: k, Err: errors.Newf("none of %d peers knows version %d", len(near), version)}
 }
 
+// keepDigests writes digests that the origin sent to the gateway table, unless another
+// instance has, and deletes those that nobody needs any more.
+func (a *Agent) keepDigests(ctx context.Context, model string, version int64, pieces [][32]byte) {
+	s := a.follower.state
+	if s.Digests(model, version) != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, keepDigestsTimeout)
+	defer cancel()
+	b, err := json.Marshal(observer.Digests{Model: model, Version: version, Pieces: pieces})
+	if err == nil {
+		err = a.follower.tables.Gateways.Put(ctx, observer.DigestKey(model, version), b)
+	}
+	for _, k := range s.SupersededDigests(model, version) {
+		err = errors.CombineErrors(err, a.follower.tables.Gateways.Put(ctx, k, nil))
+	}
+	if err != nil {
+		a.Log.Warn().Err(err).Int64("version", version).Msg("digests-not-kept")
+	}
+}
+
 func (a *Agent) requestDigests(ctx context.Context, peer netip.AddrPort, version int64) ([][32]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, digestTimeout)
 	defer cancel()
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -152,18 +152,27 @@
 	return xxhash.Sum64String(self.String() + " " + gateway.String())
 }
 
+// startPlatformDelay is how long an agent that starts asks only gateways for the operator
+// table and the endpoint list.
+const startPlatformDelay = 400 * time.Millisecond
+
 // sources returns the sources of a table in order of preference: the platform first
-// for a gateway, the gateways first for an agent.
+// for a gateway, the gateways first for an agent. An agent that starts reads the gateway
+// table from the platform, so that it knows the gateways near it.
 func (f *follower) sources(name string, t *connector.Table, agent bool) []observer.Source {
 	peers := &observer.PeerReader{Table: name, Client: f.client, Peers: f.peers, Now: time.Now}
 	platform := observer.Source{Name: "platform", Read: t.Read}
 	if !agent {
 		return []observer.Source{platform, {Name: "peers", Read: peers.Read}}
 	}
-	if name == operatorTable {
+	start := &observer.StartReader{Peers: peers.Read, Platform: t.Read, PlatformDelay: startPlatformDelay}
+	switch name {
+	case operatorTable:
 		peers.Table = outlineView
+	case gatewayTable:
+		start.PlatformDelay = 0
 	}
-	return []observer.Source{{Name: "peers", Read: peers.Read}, platform}
+	return []observer.Source{{Name: "peers", Read: start.Read}, platform}
 }
 
 // run follows all tables until ctx is done.
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -73,6 +73,8 @@
 	// Digests asks other instances for the digests of a version. After an error of kind
 	// Refused the Loader asks them again soon, after any other it asks the origin.
 	Digests func(ctx context.Context, model string, version int64) ([][32]byte, error)
+	// Learned is called with digests that the origin sent; it may be nil.
+	Learned func(ctx context.Context, model string, version int64, digests [][32]byte)
 	// Pieces returns a client of the origin at the address.
 	Pieces func(netip.AddrPort) *connector.Pieces
 	// NewFetcher returns a fetcher for an origin in the given failure domain.
--- a/loader/spread.go
+++ b/loader/spread.go
@@ -105,6 +105,7 @@
 		return m, nil
 	}
 	d, err := l.Digests(ctx, e.Model, version)
+	fromOrigin := err != nil
 	if classifier.Of(err) == classifier.Refused {
 		return nil, nil
 	}
@@ -117,6 +118,9 @@
 	if len(d) != e.Chunks {
 		return nil, fail("learn version", classifier.Invalid, errors.Newf("got %d digests, but the engine takes %d pieces", len(d), e.Chunks))
 	}
+	if fromOrigin && l.Learned != nil {
+		go l.Learned(ctx, e.Model, version, d)
+	}
 	return l.keep(e, version, d)
 }
 
--- a/observer/gateways.go
+++ b/observer/gateways.go
@@ -8,7 +8,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 )
 
-// ApplyGateways applies new records of gateways.
+// ApplyGateways applies new records of gateways and of digests.
 func (s *State) ApplyGateways(items []connector.Item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -16,6 +16,10 @@
 		s.gateways = make(map[string]*Gateway)
 	}
 	for _, i := range items {
+		if isDigestKey(i.Key) {
+			s.applyDigests(i)
+			continue
+		}
 		if i.Value == nil {
 			delete(s.gateways, i.Key)
 			continue
--- a/observer/peers.go
+++ b/observer/peers.go
@@ -27,8 +27,14 @@
 	// doubles with each failure.
 	minBackoff = time.Second
 	maxBackoff = 16 * time.Second
+	// notReadyBackoff is the time for which a peer is skipped that has just started and
+	// doesn't know the table yet.
+	notReadyBackoff = 100 * time.Millisecond
 )
 
+// errNotReady means that a peer doesn't know the table yet.
+var errNotReady = errors.New("the peer doesn't know the table yet")
+
 // PeerReader reads a table from the nearest peer that isn't in backoff. A peer is put
 // into backoff if a read fails, or if it has no changes and its data is stale, which
 // means that it may be cut off from the platform itself. Otherwise two peers that are
@@ -65,9 +71,12 @@
 		wait = 0
 	}
 	c, err := r.readFrom(ctx, a, from, wait)
-	if err != nil || len(c.Items) == 0 && c.Age > staleAge {
+	switch {
+	case errors.Is(err, errNotReady):
+		r.skip(a, backoff{until: r.Now().Add(notReadyBackoff)})
+	case err != nil || len(c.Items) == 0 && c.Age > staleAge:
 		r.recordFailure(a, err != nil)
-	} else {
+	default:
 		delete(r.failed, a)
 	}
 	return c, err
@@ -91,13 +100,17 @@
 }
 
 func (r *PeerReader) recordFailure(a netip.AddrPort, unreachable bool) {
-	if r.failed == nil {
-		r.failed = make(map[netip.AddrPort]backoff)
-	}
 	p := r.failed[a]
 	p.until = r.Now().Add(min(maxBackoff, minBackoff<<min(p.failures, 16)))
 	p.failures++
 	p.unreachable = unreachable
+	r.skip(a, p)
+}
+
+func (r *PeerReader) skip(a netip.AddrPort, p backoff) {
+	if r.failed == nil {
+		r.failed = make(map[netip.AddrPort]backoff)
+	}
 	r.failed[a] = p
 }
 
@@ -114,6 +127,9 @@
 		return c, &Error{Op: op, Kind: classifier.Unavailable, Err: err}
 	}
 	defer func() { _ = o.Body.Close() }()
+	if o.StatusCode == http.StatusServiceUnavailable {
+		return c, &Error{Op: op, Kind: classifier.Unavailable, Err: errNotReady}
+	}
 	if o.StatusCode != http.StatusOK {
 		return c, &Error{Op: op, Kind: classifier.Unavailable, Err: errors.Newf("status %d", o.StatusCode)}
 	}
--- a/observer/peers_test.go
+++ b/observer/peers_test.go
@@ -37,7 +37,7 @@
 	})
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		if p.down.Load() {
-			http.Error(w, "down", http.StatusServiceUnavailable)
+			http.Error(w, "down", http.StatusBadGateway)
 			return
 		}
 		mux.ServeHTTP(w, q)
--- a/observer/state.go
+++ b/observer/state.go
@@ -78,6 +78,8 @@
 	evacuated map[string]string
 	targets   map[string]*versionHistory
 	gateways  map[string]*Gateway
+	// digests holds the digests of versions by key.
+	digests map[string]*Digests
 	// lastListFailure is the time of the last failed read of the list of endpoints from
 	// the first source; listUnavailable is set until a read succeeds.
 	lastListFailure time.Time
