dispatcher: few gateways share each engine

Cause: 18 to 60 gateways each see reports of the engines that are up to 0.2 s old, and each may take the last free slot of the same engine.

Change: an engine is preferred by three gateways of its failure domain and two others, by rendezvous hash. A gateway sends to others only while its own are full and the other has a quarter of its slots free, half of them under overload. The limit of prompts ahead of an engine is divided among its sharers and not among all gateways. Plain services and fleets of up to five gateways are as before.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +41,8 @@
 	gateways int
 	// gatewayNames holds the names of the known gateways.
 	gatewayNames []string
+	// gatewayList holds the known gateways in the same order.
+	gatewayList []*observer.Gateway
 	// near and far are buffers that pickAmong reuses.
 	near, far []*node
 	// listed reports whether an endpoint list has been applied. Endpoints of the
@@ -93,10 +97,12 @@
 		return
 	}
 	evacuated := d.State.Evacuated()
-	names := d.State.GatewayNames()
+	names, gateways := d.State.GatewayNames(), d.State.GatewayList()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.gatewayNames = names
+	rank := !slices.Equal(gateways, d.gatewayList)
+	d.gatewayList = gateways
 	d.gateways = max(len(names), 1)
 	d.addPools(t, list)
 	for _, p := range d.pools {
@@ -105,6 +111,7 @@
 			d.updatePool(p, s)
 		}
 		d.updateNodes(p, s, list, evacuated)
+		d.updateSharers(p, rank)
 		d.grant(p)
 	}
 	d.listed = true
@@ -139,6 +146,7 @@
 			delete(p.nodes, id)
 		}
 	}
+	p.byAddress = make(map[netip.AddrPort]*node, len(p.nodes))
 	for id, e := range list {
 		if e.Service != p.service {
 			continue
@@ -155,6 +163,7 @@
 			n.extendCold(now.Add(e.Cold))
 		}
 		n.Endpoint = *e
+		p.addAddress(n)
 		n.Draining = e.Draining || evacuated[e.Domain]
 		if now.Before(n.coldUntil) {
 			n.coldShare = p.cold.at(id, d.Name, d.gatewayNames)
@@ -168,13 +177,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range d.pools {
-		for _, n := range p.nodes {
-			if n.Address != r.Address || !r.Started.IsZero() && !n.Started.IsZero() && !n.Started.Equal(r.Started) {
-				continue
-			}
-			n.report, n.reportedAt, n.inFlightAtReport = r, d.now(), n.inFlight
-			d.grant(p)
+		n := p.byAddress[r.Address]
+		if n == nil || !r.Started.IsZero() && !n.Started.IsZero() && !n.Started.Equal(r.Started) {
+			continue
 		}
+		n.report, n.reportedAt, n.inFlightAtReport = r, d.now(), n.inFlight
+		d.grant(p)
 	}
 }
 
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -67,6 +67,10 @@
 	reportedAt       time.Time
 	inFlightAtReport int
 
+	// preferred reports whether this gateway is a sharer of the endpoint; ranked, whether
+	// that has been determined.
+	preferred, ranked bool
+
 	// prefill is the estimated time that the engine takes to process those prompts of
 	// this gateway that it hasn't finished yet.
 	prefill time.Duration
--- a/dispatcher/pick.go
+++ b/dispatcher/pick.go
@@ -70,27 +70,31 @@
 	if d.IsCurrent != nil && !d.IsCurrent() {
 		return nil
 	}
-	n, others := d.pickAmong(p, r, now, false)
-	if n == nil && !others {
-		n, _ = d.pickAmong(p, r, now, true)
+	n, preferred := d.pickAmong(p, r, now, preferredTier)
+	if n != nil {
+		return n
+	}
+	n, others := d.pickAmong(p, r, now, spillTier)
+	if n == nil && !preferred && !others {
+		n, _ = d.pickAmong(p, r, now, suspectTier)
 	}
 	return n
 }
 
-// pickAmong picks among the suspect endpoints or among the others, and reports
-// whether any of them is usable, with capacity or without. It takes the best of a
+// pickAmong picks among the endpoints of one tier, and reports whether any of them is
+// usable, with capacity or without. It takes the best of a
 // small random sample: if all gateways took the best of all endpoints, they would
 // overload the same one, as none knows yet what the others have just sent.
-func (d *Dispatcher) pickAmong(p *pool, r Request, now time.Time, suspect bool) (*node, bool) {
+func (d *Dispatcher) pickAmong(p *pool, r Request, now time.Time, t tier) (*node, bool) {
 	near, far := d.near[:0], d.far[:0]
 	found := false
 	for _, n := range p.nodes {
-		if n.isSuspect(now) != suspect || !d.isUsable(p, n, r, now) {
+		if n.tier(now) != t || !d.isUsable(p, n, r, now) {
 			continue
 		}
 		found = true
 		switch {
-		case !d.hasCapacity(p, n, r, now):
+		case !d.hasCapacity(p, n, r, now), t == spillTier && !d.hasSpareCapacity(p, n, now):
 		case n.Region == d.Region:
 			near = append(near, n)
 		default:
@@ -131,7 +135,7 @@
 	if n.load(now, d.gateways) >= p.limit(n, r, now) || n.isColdLimited(now) {
 		return false
 	}
-	return r.Resumed || n.prefill == 0 || n.prefill+p.prefillTime(r) <= d.prefillLimit(r)
+	return r.Resumed || n.prefill == 0 || n.prefill+p.prefillTime(r) <= d.prefillLimit(n, r)
 }
 
 // score returns the relative load of an endpoint plus the costs of distance,
@@ -156,10 +160,10 @@
 }
 
 // prefillLimit returns the prompt processing time that this gateway may have pending
-// at an engine. An engine processes prompts one after the other, and all gateways
-// may choose the same engine before its reports show them each other's requests.
-func (d *Dispatcher) prefillLimit(r Request) time.Duration {
-	return time.Duration(prefillShare * float64(r.Match.Route.Aim) / float64(d.gateways))
+// at an engine. An engine processes prompts one after the other, and all gateways that
+// send to it may choose it before its reports show them each other's requests.
+func (d *Dispatcher) prefillLimit(n *node, r Request) time.Duration {
+	return time.Duration(prefillShare * float64(r.Match.Route.Aim) / float64(d.sharers(n)))
 }
 
 func (d *Dispatcher) distanceCost(n *node) float64 {
--- /dev/null
+++ b/dispatcher/subset.go
@@ -0,0 +1,123 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"github.com/eelgrassdrift/eelgrassdrift/observer"
+)
+
+const (
+	// nearSharers and farSharers are the numbers of gateways in the endpoint's failure
+	// domain and in others that prefer an endpoint. With few sharers each of them knows
+	// most of what the endpoint has to do, and connections are reused; those in other
+	// failure domains use it if all gateways of its own are lost.
+	nearSharers = 3
+	farSharers  = 2
+	// maxSharers is the number of gateways that prefer an endpoint in a fleet that has
+	// so many.
+	maxSharers = nearSharers + farSharers
+	// spillLoad is the part of the slots below which an endpoint gets requests from a
+	// gateway that doesn't prefer it, and overloadSpillLoad the same under overload. Near
+	// full load many gateways would take its last slots at once.
+	spillLoad         = 0.75
+	overloadSpillLoad = 0.5
+)
+
+// tier orders the endpoints that a request may go to.
+type tier uint8
+
+const (
+	// preferredTier holds the endpoints of which this gateway is a sharer.
+	preferredTier tier = iota
+	// spillTier holds all others; they get requests only while they have little to do.
+	spillTier
+	// suspectTier holds endpoints that may be lost. They are used if there are no others.
+	suspectTier
+)
+
+// isSharer reports whether the gateway is one of those that prefer an endpoint. The
+// gateways of the endpoint's failure domain come first; further ones fill up the number.
+// All gateways that know the same gateways agree.
+func isSharer(e *observer.Endpoint, self string, gateways []*observer.Gateway) bool {
+	if len(gateways) <= maxSharers {
+		return true
+	}
+	var near, far []string
+	for _, g := range gateways {
+		if g.Domain == e.Domain {
+			near = append(near, g.Name)
+		} else {
+			far = append(far, g.Name)
+		}
+	}
+	near = firstRanked(e.ID, near, nearSharers)
+	far = firstRanked(e.ID, far, maxSharers-len(near))
+	return slices.Contains(near, self) || slices.Contains(far, self)
+}
+
+// firstRanked returns up to n names that come first in the rendezvous order for the
+// endpoint.
+func firstRanked(endpoint string, names []string, n int) []string {
+	type ranked struct {
+		name string
+		rank uint64
+	}
+	l := make([]ranked, len(names))
+	for i, g := range names {
+		l[i] = ranked{g, rank(endpoint, g)}
+	}
+	slices.SortFunc(l, func(a, b ranked) int {
+		if a.rank > b.rank {
+			return -1
+		}
+		return 1
+	})
+	var out []string
+	for _, r := range l[:min(n, len(l))] {
+		out = append(out, r.name)
+	}
+	return out
+}
+
+// updateSharers determines which endpoints of the pool this gateway prefers: of all
+// endpoints if the gateways changed, else of new ones. A plain service has few endpoints,
+// and each gateway uses all of them.
+func (d *Dispatcher) updateSharers(p *pool, all bool) {
+	for _, n := range p.nodes {
+		if all || !n.ranked {
+			n.preferred, n.ranked = p.model == "" || isSharer(&n.Endpoint, d.Name, d.gatewayList), true
+		}
+	}
+}
+
+// tier returns the tier of an endpoint.
+func (n *node) tier(now time.Time) tier {
+	switch {
+	case n.isSuspect(now):
+		return suspectTier
+	case n.preferred:
+		return preferredTier
+	default:
+		return spillTier
+	}
+}
+
+// hasSpareCapacity reports whether an endpoint may get a request from a gateway that
+// doesn't prefer it.
+func (d *Dispatcher) hasSpareCapacity(p *pool, n *node, now time.Time) bool {
+	share := spillLoad
+	if p.isOverloaded(now) {
+		share = overloadSpillLoad
+	}
+	return n.prefill == 0 && n.report.Queued == 0 && float64(n.load(now, d.gateways)) < share*float64(n.limit())
+}
+
+// sharers returns the number of gateways that send to the endpoint, as far as this one
+// knows: those that prefer it, or all if this one isn't among these.
+func (d *Dispatcher) sharers(n *node) int {
+	if n.preferred {
+		return min(d.gateways, maxSharers)
+	}
+	return d.gateways
+}
--- a/observer/gateways.go
+++ b/observer/gateways.go
@@ -34,6 +34,11 @@
 	if len(items) > 0 {
 		names := slices.Sorted(maps.Keys(s.gateways))
 		s.gatewayNames.Store(&names)
+		list := make([]*Gateway, len(names))
+		for i, n := range names {
+			list[i] = s.gateways[n]
+		}
+		s.gatewayList.Store(&list)
 	}
 }
 
@@ -46,6 +51,15 @@
 	return nil
 }
 
+// GatewayList returns the known gateways sorted by key, with the same rules as
+// GatewayNames.
+func (s *State) GatewayList() []*Gateway {
+	if l := s.gatewayList.Load(); l != nil {
+		return *l
+	}
+	return nil
+}
+
 // GatewayCount returns the number of known gateways.
 func (s *State) GatewayCount() int { return len(s.GatewayNames()) }
 
--- a/observer/state.go
+++ b/observer/state.go
@@ -73,6 +73,8 @@
 	// gatewayNames holds the sorted names of gateways, for reads without the lock. The
 	// slice is replaced by each change.
 	gatewayNames atomic.Pointer[[]string]
+	// gatewayList holds the gateways in the same order.
+	gatewayList atomic.Pointer[[]*Gateway]
 
 	mu        sync.Mutex
 	evacuated map[string]string
