dispatcher: judge older versions by each engine's own delays

Cause: the rule against late requests to older versions went by the largest delay in the pool.

Change: the delays are measured at each engine, and forgotten when it has loaded another version. A request that can't begin in time at any engine is refused at once.

No allocation beyond the lease (TestAllocations).

--- a/dispatcher/begin.go
+++ b/dispatcher/begin.go
@@ -1,6 +1,9 @@
 package dispatcher
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// beginWindow is how long a measured delay to the first token is remembered. It
@@ -11,10 +14,9 @@
 	beginFactor = 1.5
 )
 
-// beginDelays tracks how long engines with an older version take to begin requests.
+// beginDelays tracks how long an engine takes to begin the requests of this gateway.
 type beginDelays struct {
-	// pending holds the leases in the order of sending. Those that were settled since
-	// are removed when they come first.
+	// pending holds the leases whose requests haven't begun, in the order of sending.
 	pending []*Lease
 	// recent holds measured delays; each is larger than all later ones.
 	recent []beginDelay
@@ -26,12 +28,13 @@
 	delay time.Duration
 }
 
-// settle records that the request of the lease began, or removes it if it didn't.
+// settle records that the request of the lease began, or that it ended before.
 func (b *beginDelays) settle(l *Lease, begun bool, now time.Time) {
-	if l.settled {
+	i := slices.Index(b.pending, l)
+	if i < 0 {
 		return
 	}
-	l.settled = true
+	b.pending = slices.Delete(b.pending, i, i+1)
 	if !begun {
 		return
 	}
@@ -42,44 +45,68 @@
 	b.recent = append(b.recent, beginDelay{now, d})
 }
 
-// max returns the largest delay within beginWindow at engines with a version below
-// target. A request that hasn't begun counts with the time since it was sent, unless its
-// endpoint is suspected to be lost.
-func (b *beginDelays) max(target int64, now time.Time) time.Duration {
-	for len(b.recent) > 0 && now.Sub(b.recent[0].at) > beginWindow {
-		b.recent = b.recent[1:]
+// max returns the largest delay within beginWindow. A request that hasn't begun counts
+// with the time since it was sent.
+func (b *beginDelays) max(now time.Time) time.Duration {
+	old := 0
+	for old < len(b.recent) && now.Sub(b.recent[old].at) > beginWindow {
+		old++
 	}
+	b.recent = slices.Delete(b.recent, 0, old)
 	var d time.Duration
 	if len(b.recent) > 0 {
 		d = b.recent[0].delay
 	}
-	for len(b.pending) > 0 && b.pending[0].settled {
-		b.pending[0] = nil
-		b.pending = b.pending[1:]
-	}
-	for _, l := range b.pending {
-		if !l.settled && l.Version < target && !l.node.isSuspect(now) {
-			return max(d, now.Sub(l.sentAt))
-		}
+	if len(b.pending) > 0 {
+		d = max(d, now.Sub(b.pending[0].sentAt))
 	}
 	return d
 }
 
-// grace returns how long an older version may be used after a newer one was named. It is
-// shorter than Grace if engines are so loaded that a request would begin later than
-// MaxVersionDelay.
-func (d *Dispatcher) grace(p *pool, now time.Time) time.Duration {
-	if d.MaxVersionDelay == 0 {
-		return d.Grace
+// forget drops the measured delays of an engine that loaded another version. Requests
+// that waited for the load say nothing about the time after it.
+func (b *beginDelays) forget() { b.recent = b.recent[:0] }
+
+// settle records that the request began, or that it ended before. The caller must hold
+// the dispatcher's lock.
+func (l *Lease) settle(begun bool) { l.node.begins.settle(l, begun, l.d.now()) }
+
+// mayBegin reports whether a request that is sent to the endpoint now begins before the
+// endpoint's version may no longer be used, going by the recent delays there. The delays
+// of a loaded engine also come from the prompts of other gateways that it has accepted
+// and not read, which its report doesn't show.
+func (d *Dispatcher) mayBegin(p *pool, n *node, now time.Time) bool {
+	v := n.version(p.model, now)
+	if d.MaxVersionDelay == 0 || v >= p.target.Version {
+		return true
 	}
-	wait := time.Duration(beginFactor * float64(p.begins.max(p.target.Version, now)))
-	return min(d.Grace, d.MaxVersionDelay-wait)
+	for _, t := range p.named {
+		if t.version > v {
+			wait := time.Duration(beginFactor * float64(n.begins.max(now)))
+			return t.due.IsZero() || now.Add(wait).Before(t.due)
+		}
+	}
+	return true
+}
+
+// namedVersion is a version that operators named.
+type namedVersion struct {
+	version int64
+	// due is when no request may begin at an older version any more, on the clock of the
+	// dispatcher; the zero time if it isn't known.
+	due time.Time
 }
 
-// updateTarget sets the versions that requests may go to.
-func (d *Dispatcher) updateTarget(p *pool) {
-	p.target.Version = d.State.Target(p.model, d.Grace).Version
-	g := d.grace(p, d.now())
-	p.target = d.State.Target(p.model, g)
-	p.lateFloor = d.State.Target(p.model, time.Duration(float64(g)*lateGraceShare)).Floor
+// updateNamed sets the named versions of the pool. Their dates are on a clock that goes on
+// while the machine is suspended.
+func (d *Dispatcher) updateNamed(p *pool) {
+	p.named = p.named[:0]
+	now, age := d.now(), d.State.Now()
+	for _, v := range d.State.Named(p.model) {
+		n := namedVersion{version: v.Version}
+		if !v.Since.IsZero() {
+			n.due = now.Add(d.MaxVersionDelay - age.Sub(v.Since))
+		}
+		p.named = append(p.named, n)
+	}
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -133,7 +133,9 @@
 	p.cold = d.Cold.share(s.ColdRate, d.gateways)
 	if s.Engine != nil {
 		p.model, p.readRate = s.Engine.Model, s.Engine.ReadRate
-		d.updateTarget(p)
+		p.target = d.State.Target(p.model, d.Grace)
+		d.updateNamed(p)
+		p.lateFloor = d.State.Target(p.model, time.Duration(float64(d.Grace)*lateGraceShare)).Floor
 	}
 }
 
@@ -181,6 +183,9 @@
 		if n == nil || !r.Started.IsZero() && !n.Started.IsZero() && !n.Started.Equal(r.Started) {
 			continue
 		}
+		if r.Versions[p.model] != n.report.Versions[p.model] {
+			n.begins.forget()
+		}
 		n.report, n.reportedAt, n.inFlightAtReport = r, d.now(), n.inFlight
 		d.grant(p)
 	}
--- a/dispatcher/lease.go
+++ b/dispatcher/lease.go
@@ -24,8 +24,6 @@
 	// once it has.
 	prefill time.Duration
 	sentAt  time.Time
-	// settled is set once the request began or ended.
-	settled bool
 }
 
 // Outcome tells how a lease ended.
@@ -49,7 +47,7 @@
 	l := &Lease{Endpoint: n.Endpoint, Load: n.load(now, d.gateways), d: d, pool: p, node: n, sentAt: now}
 	if p.model != "" {
 		l.Version = n.version(p.model, now)
-		p.begins.pending = append(p.begins.pending, l)
+		n.begins.pending = append(n.begins.pending, l)
 	}
 	l.prefill = p.prefillTime(r)
 	n.prefill += l.prefill
@@ -82,12 +80,6 @@
 	l.prefill = 0
 }
 
-// settle records that the request began, or that it ended before. Only requests to an
-// older version are measured. The caller must hold the dispatcher's lock.
-func (l *Lease) settle(begun bool) {
-	l.pool.begins.settle(l, begun && l.Version < l.pool.target.Version, l.d.now())
-}
-
 // Done ends the lease and assigns the slot to a queued request, if any. It must be
 // called exactly once.
 func (l *Lease) Done(o Outcome) {
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -67,6 +67,8 @@
 	reportedAt       time.Time
 	inFlightAtReport int
 
+	begins beginDelays
+
 	// preferred reports whether this gateway is a sharer of the endpoint; ranked, whether
 	// that has been determined.
 	preferred, ranked bool
--- a/dispatcher/pick.go
+++ b/dispatcher/pick.go
@@ -36,7 +36,7 @@
 
 // isAllowed reports whether the request may go to the endpoint, regardless of load:
 // the endpoint is not draining or excluded, its region is allowed, and it serves a
-// version that is recent enough.
+// version that may be used when the request begins.
 func (d *Dispatcher) isAllowed(p *pool, n *node, r Request, now time.Time) bool {
 	if n.Draining || !r.Match.Allows(n.Region) || slices.Contains(r.Exclude, n.ID) {
 		return false
@@ -45,7 +45,7 @@
 		return true
 	}
 	v := n.version(p.model, now)
-	return v > 0 && v >= p.target.Floor
+	return v > 0 && v >= p.target.Floor && d.mayBegin(p, n, now)
 }
 
 // isUsable reports whether the endpoint may get the request as soon as it has
--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -62,9 +62,10 @@
 	// readRate is the number of prompt tokens that an engine processes per second.
 	readRate float64
 	target   observer.TargetVersions
+	// named holds the versions that were named, the newest last.
+	named []namedVersion
 	// lateFloor is the newest version whose predecessors may no longer be used soon.
 	lateFloor int64
-	begins    beginDelays
 	cold      coldShare
 	// unplaced is a buffer that grantOne reuses.
 	unplaced []unplaced
--- a/observer/state.go
+++ b/observer/state.go
@@ -192,6 +192,29 @@
 	Floor int64
 }
 
+// NamedVersion is a version that operators named.
+type NamedVersion struct {
+	Version int64
+	// Since is a time before which the version was not the target; the zero time if it may
+	// have been the target for long.
+	Since time.Time
+}
+
+// Named returns the versions of a model that operators named, the newest last.
+func (s *State) Named(model string) []NamedVersion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.targets[model]
+	if h == nil {
+		return nil
+	}
+	l := make([]NamedVersion, len(*h))
+	for i, t := range *h {
+		l[i] = NamedVersion{t.version, t.since}
+	}
+	return l
+}
+
 // Target returns the target versions of a model, with Floor for the grace period.
 func (s *State) Target(model string, grace time.Duration) TargetVersions {
 	s.mu.Lock()
