loader, distributor: superseded versions reach every engine in time

Change: the instance of the origin's region that is ranked first for a piece also asks the leaders of other regions, after the origin has failed. The turns of a superseded version end before its latest load. An origin that is left to the newer version fails at once, so that the others are asked again.

Tests that failed first: TestSupersededVersionIsCompleted/other, TestLoadStartsOfSupersededVersion.

--- a/distributor/ranker.go
+++ b/distributor/ranker.go
@@ -134,6 +134,32 @@
 			}
 		}
 	}
+	return p.appendOtherRegions(out, chunk)
+}
+
+// leads reports whether this instance is ranked first in the group for a chunk.
+func (p *Plan) leads(g *group, chunk int) bool {
+	for c := p.self; c != g; c = c.parent {
+		if p.firstChild(c.parent, chunk) != c {
+			return false
+		}
+	}
+	return true
+}
+
+// appendOtherRegions appends, for the leader of the origin's region, the leaders of other
+// regions. They may hold the chunk if the origin sent it to them while this region was cut
+// off, or before the origin became unavailable.
+func (p *Plan) appendOtherRegions(out []Source, chunk int) []Source {
+	if p.origin == nil || !p.origin.self || !p.leads(p.origin, chunk) {
+		return out
+	}
+	var buf [maxLowerRanked]scoredChild
+	for _, b := range p.topChildren(p.root, chunk, 0, ^uint64(0), buf[:]) {
+		if m := p.leader(b.group, chunk); m != nil {
+			out = append(out, Source{Member: m.member, Level: OtherRegion, LowerRanked: true})
+		}
+	}
 	return out
 }
 
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -224,7 +224,7 @@
 	start := timekeeper.Now()
 	if s, _ := l.Reporter.State(); s.Versions[model] > 0 {
 		place := place(l.State.Endpoints(), l.Service, l.Address)
-		start = loadStart(place, since, start, l.MaxVersionDelay)
+		start = loadStart(place, since, start, l.latestLoad(model, version), l.MaxVersionDelay)
 	}
 	for timekeeper.Now().Before(start) && l.complete.Load() == version {
 		if s, ok := l.Reporter.State(); !ok || s.Versions[model] == 0 {
--- a/loader/superseded.go
+++ b/loader/superseded.go
@@ -37,11 +37,20 @@
 // begin when the load ends, which must be before the superseded version is due.
 const supersededLoadShare = 0.6
 
+// latestLoad returns the latest time at which the load of a superseded version is of use;
+// the zero time if the version isn't superseded or the date of the newer one isn't known.
+func (l *Loader) latestLoad(model string, version int64) time.Time {
+	n := l.target(model)
+	if version >= n.Version || n.Since.IsZero() {
+		return time.Time{}
+	}
+	return n.Since.Add(time.Duration(float64(l.MaxVersionDelay) * supersededLoadShare))
+}
+
 // isTooLate reports whether a version is superseded and its load would end too late to be
 // of use.
 func (l *Loader) isTooLate(model string, version int64, now time.Time) bool {
-	n := l.target(model)
-	return version < n.Version && now.Sub(n.Since) > time.Duration(float64(l.MaxVersionDelay)*supersededLoadShare)
+	return version < l.target(model).Version && now.After(l.latestLoad(model, version))
 }
 
 // supersededStep fetches the rest of a superseded version from other instances. If the
@@ -85,11 +94,10 @@
 	return known && s.Versions[e.Model] < version && l.complete.Load() < version && !l.isTooLate(e.Model, version, timekeeper.Now())
 }
 
-// withoutOrigin returns an origin that never responds. The real one is left to the newer
-// version.
+// withoutOrigin returns an origin that is unavailable, so that the other instances are
+// asked again and again. The real one is left to the newer version.
 func withoutOrigin() *connector.Origin {
-	return &connector.Origin{Fetch: func(ctx context.Context, _ recorder.Digest) (io.ReadCloser, int64, error) {
-		<-ctx.Done()
-		return nil, 0, fail("fetch piece of a superseded version", classifier.Unavailable, errors.WithStack(context.Cause(ctx)))
+	return &connector.Origin{Fetch: func(context.Context, recorder.Digest) (io.ReadCloser, int64, error) {
+		return nil, 0, fail("fetch piece of a superseded version", classifier.Unavailable, errors.New("the origin sends only the target version"))
 	}}
 }
--- a/loader/superseded_test.go
+++ b/loader/superseded_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -108,29 +109,43 @@
 
 // A version that a newer one superseded must be completed from the peers, as long as
 // nothing newer can be served. Otherwise an outage of the origin, which has not sent the
-// newer one yet, leaves no version that may be served.
+// newer one yet, leaves no version that may be served. In the origin's region the only
+// copy of a piece may be in another region: all 21 engines there lacked one for 10 s.
 func TestSupersededVersionIsCompleted(t *testing.T) {
-	var pieces [][]byte
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		for _, b := range pieces {
-			if strings.HasSuffix(q.URL.Path, recorder.DigestOf(b).String()) {
-				_, _ = w.Write(b)
-				return
+	for _, region := range []recorder.Name{"r", "other"} {
+		t.Run(string(region), func(t *testing.T) {
+			var pieces [][]byte
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+				for _, b := range pieces {
+					if strings.HasSuffix(q.URL.Path, recorder.DigestOf(b).String()) {
+						_, _ = w.Write(b)
+						return
+					}
+				}
+				http.NotFound(w, q)
+			}))
+			defer s.Close()
+			var l *Loader
+			l, _, _, pieces = newTestLoader(t, strings.TrimPrefix(s.URL, "http://"))
+			newFetcher := l.NewFetcher
+			l.NewFetcher = func(o *connector.Origin, domain string) *distributor.Fetcher {
+				f := newFetcher(o, domain)
+				members := f.Members()
+				members[0].Region = region
+				f.OriginRegion = f.Self.Region
+				f.Members = func() []distributor.Member { return append(slices.Clone(members), f.Self) }
+				return f
 			}
-		}
-		http.NotFound(w, q)
-	}))
-	defer s.Close()
-	var l *Loader
-	l, _, _, pieces = newTestLoader(t, strings.TrimPrefix(s.URL, "http://"))
-	l.superseded.Store(2)
-	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-	defer cancel()
-	if err := l.supersededStep(ctx); err != nil {
-		t.Fatal(err)
-	}
-	if got := l.complete.Load(); got != 2 {
-		t.Errorf("complete version %d, want 2", got)
+			l.superseded.Store(2)
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			if err := l.supersededStep(ctx); err != nil {
+				t.Fatal(err)
+			}
+			if got := l.complete.Load(); got != 2 {
+				t.Errorf("complete version %d, want 2", got)
+			}
+		})
 	}
 }
 
--- a/loader/turn.go
+++ b/loader/turn.go
@@ -16,6 +16,9 @@
 	lastLoadShare  = 0.66
 )
 
+// turnMargin is the time by which the last turn begins before the latest load.
+const turnMargin = 200 * time.Millisecond
+
 // place returns the relative position, in [0, 1), of an endpoint among those of its
 // service and failure domain, sorted by address. It is 0 for an unknown endpoint. As it
 // is relative to the failure domain, the loads of each domain are spread over the whole
@@ -43,11 +46,15 @@
 
 // loadStart returns when the engine at the place may load a version that must be served
 // everywhere within the given time after it was learned of. If learned is zero, the first
-// engine may load now.
-func loadStart(place float64, learned, now time.Time, within time.Duration) time.Time {
-	span := time.Duration(float64(within) * (lastLoadShare - firstLoadShare) * place)
+// engine may load now, and the last one by latest, unless that is zero too: an engine that
+// loads later would have nothing to serve when the older version may not be used any more.
+func loadStart(place float64, learned, now, latest time.Time, within time.Duration) time.Time {
+	span := time.Duration(float64(within) * (lastLoadShare - firstLoadShare))
 	if learned.IsZero() {
-		return now.Add(span)
+		if !latest.IsZero() {
+			span = max(0, min(span, latest.Sub(now)-turnMargin))
+		}
+		return now.Add(time.Duration(float64(span) * place))
 	}
-	return learned.Add(time.Duration(float64(within)*firstLoadShare) + span)
+	return learned.Add(time.Duration(float64(within)*firstLoadShare + float64(span)*place))
 }
--- a/loader/turn_test.go
+++ b/loader/turn_test.go
@@ -25,7 +25,7 @@
 	learned := time.Unix(1000, 0)
 	count := make(map[string]int)
 	for _, e := range list {
-		at := loadStart(place(list, "s", e.Address), learned, learned.Add(time.Second), within).Sub(learned)
+		at := loadStart(place(list, "s", e.Address), learned, learned.Add(time.Second), time.Time{}, within).Sub(learned)
 		if at < 0 || at > within*3/4 {
 			t.Errorf("%s starts to load after %s, want 0 to 6 s", e.ID, at)
 		}
@@ -44,14 +44,32 @@
 // If it isn't known when the target was learned, the loads start now, in the same order.
 func TestLoadStartsWithoutLearnedTime(t *testing.T) {
 	now := time.Unix(1000, 0)
-	if at := loadStart(0, time.Time{}, now, 8*time.Second); !at.Equal(now) {
+	if at := loadStart(0, time.Time{}, now, time.Time{}, 8*time.Second); !at.Equal(now) {
 		t.Errorf("first load starts at %s, want now", at)
 	}
-	if at := loadStart(0.5, time.Time{}, now, 8*time.Second); !at.After(now) {
+	if at := loadStart(0.5, time.Time{}, now, time.Time{}, 8*time.Second); !at.After(now) {
 		t.Errorf("second load starts at %s, want later than now", at)
 	}
 }
 
+// Every engine must get its turn to load a superseded version while that is of use. The
+// last ones got theirs too late, loaded nothing, and had no version to serve for 5 s.
+func TestLoadStartsOfSupersededVersion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	latest := now.Add(1300 * time.Millisecond)
+	var last time.Time
+	for i := range 28 {
+		at := loadStart(float64(i)/28, time.Time{}, now, latest, 8*time.Second)
+		if at.Before(now) || !at.Before(latest) || i > 0 && !at.After(last) {
+			t.Errorf("place %d of 28 loads at %s, after %s", i, at.Sub(now), last.Sub(now))
+		}
+		last = at
+	}
+	if at := loadStart(0.9, time.Time{}, now, now.Add(-time.Second), 8*time.Second); !at.Equal(now) {
+		t.Errorf("loads after %s though it is late, want 0 s", at.Sub(now))
+	}
+}
+
 // A newer version that can be served before the deadline of the older one replaces it at
 // once. One that becomes the target later must not, because at the deadline no engine
 // would serve a version that is allowed.
