loader: fetch while an added engine is still starting

Change: 0.3 s after its start an agent fetches the version without its engine, if half of the endpoints of its failure domain have served it for 8 s. Pieces that a late engine has are read as soon as it responds.

Test: TestFetchBeforeEngineRuns (failed first: fetched after the engine).

--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -141,7 +141,7 @@
 	a.socket = s
 	replica := a.Platform.Replica(a.Engine, a.follower.client)
 	a.loader = &loader.Loader{
-		Service: a.Service, Address: a.Engine, Link: a.Link / bitsPerByte, MaxVersionDelay: a.MaxVersionDelay, State: a.follower.state, Replica: replica,
+		Service: a.Service, Domain: a.Domain, Address: a.Engine, Link: a.Link / bitsPerByte, MaxVersionDelay: a.MaxVersionDelay, State: a.follower.state, Replica: replica,
 		Reporter:   &loader.Reporter{Replica: replica, Address: a.Engine, Send: a.send, Log: a.Log},
 		Digests:    a.digests,
 		Learned:    a.keepDigests,
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -60,6 +60,8 @@
 type Loader struct {
 	// Service is the service of the engine.
 	Service string
+	// Domain is the failure domain of the instance.
+	Domain string
 	// Address is the address of the engine, as in the endpoint list.
 	Address netip.AddrPort
 	// Link is the rate of the instance's link in bytes per second; 0 where it isn't
@@ -84,6 +86,8 @@
 
 	fetcher *distributor.Fetcher
 	origin  netip.AddrPort
+	// began is the time of the start.
+	began time.Time
 
 	// complete is the newest version of which the store has all pieces, or which the
 	// engine already serves.
@@ -105,6 +109,7 @@
 // Run fetches and loads each new target version until ctx is done. Fetching, staging and
 // loading run concurrently, so that a version can be fetched while an older one loads.
 func (l *Loader) Run(ctx context.Context) error {
+	l.began = time.Now()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return l.repeat(ctx, "fetch-failed", l.fetchStep) })
 	g.Go(func() error { return l.repeat(ctx, "superseded-fetch-failed", l.supersededStep) })
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -122,6 +122,8 @@
 	// corruptPieces is the number of pieces still to be corrupted.
 	corruptPieces int
 	sent          int
+	// first is when the first piece was sent.
+	first time.Time
 	// noManifest makes requests for manifests fail.
 	noManifest bool
 	// corruptManifests is the number of manifests still to be sent with a wrong digest.
@@ -147,7 +149,9 @@
 		Piece: func(_ context.Context, _ string, version int64, n int) (io.ReadCloser, int64, error) {
 			o.mu.Lock()
 			defer o.mu.Unlock()
-			o.sent++
+			if o.sent++; o.sent == 1 {
+				o.first = time.Now()
+			}
 			b := weights(version, n)
 			if o.corruptPieces > 0 {
 				o.corruptPieces--
@@ -353,6 +357,61 @@
 	}
 }
 
+// An instance must fetch while its engine is still starting: the engines of added instances
+// came up a second after their agents. One whose engine has the pieces must not.
+func TestFetchBeforeEngineRuns(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// delay is the time until the engine responds, staged whether it has the pieces, and
+		// age the time since another engine started that serves the version.
+		delay  time.Duration
+		staged bool
+		age    time.Duration
+		// early is whether the pieces must be fetched before the engine responds.
+		early bool
+		sent  int
+	}{
+		{"added instance", time.Second, false, time.Minute, true, pieces},
+		{"engine with pieces", 50 * time.Millisecond, true, time.Minute, false, 0},
+		{"start of the fleet", time.Second, true, 2 * time.Second, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture()
+			report := f.loader.Replica.Report
+			f.loader.Domain = "a"
+			f.state.DecodeEndpoint = func(key string, _ []byte) (*observer.Endpoint, error) {
+				return &observer.Endpoint{
+					ID: key, Service: "s", Domain: "a", Versions: map[string]int64{"m": 1}, Started: time.Now().Add(-c.age),
+				}, nil
+			}
+			f.state.ApplyEndpoints([]connector.Item{{Key: "e1", Value: []byte("y"), Offset: 2}}, true)
+			began := time.Now()
+			f.loader.Replica.Report = func(ctx context.Context) (connector.ReplicaReport, error) {
+				if time.Since(began) < c.delay {
+					return connector.ReplicaReport{}, errors.New("connection refused")
+				}
+				return report(ctx)
+			}
+			if c.staged {
+				for n := range pieces {
+					f.engine.staged[n] = weights(1, n)
+				}
+			}
+			f.run(t, 1)
+			f.checkLoadedPieces(t)
+			if early := f.origin.first.Sub(began) < c.delay; f.origin.sent > 0 && early != c.early {
+				t.Errorf("fetched before the engine responded: %t", early)
+			}
+			if f.origin.sent != c.sent {
+				t.Errorf("the origin sent %d pieces, want %d", f.origin.sent, c.sent)
+			}
+			if d := time.Since(began); d > c.delay+700*time.Millisecond {
+				t.Errorf("loaded after %s", d)
+			}
+		})
+	}
+}
+
 // The origin accepts only a few dozen connections. An instance whose peers are about to
 // know a version must not ask the origin for its digests.
 func TestWaitsForPeers(t *testing.T) {
--- a/loader/spread.go
+++ b/loader/spread.go
@@ -27,6 +27,11 @@
 	staged []bool
 }
 
+// engineWait is how long after the start the Loader waits for the engine before it fetches.
+// An engine that starts with its instance may need a second, while one that still has
+// staged pieces responds at once.
+const engineWait = 300 * time.Millisecond
+
 // piece identifies a piece at the origin.
 type piece struct {
 	model   string
@@ -37,20 +42,23 @@
 // fetchStep fetches the pieces of the target version into the store.
 func (l *Loader) fetchStep(ctx context.Context) error {
 	e, o := l.engine()
-	if _, known := l.Reporter.State(); e == nil || !known {
+	_, known := l.Reporter.State()
+	if e == nil {
 		return nil
 	}
 	l.connect(o)
 	n := l.target(e.Model)
-	if l.complete.Load() >= n.Version {
+	if l.complete.Load() >= n.Version || !known && !l.mayFetchEarly(e.Model, n.Version) {
 		return nil
 	}
 	m, err := l.learn(ctx, e, n.Version)
 	if err != nil || m == nil {
 		return err
 	}
-	if err := l.restoreStaged(ctx, e.Model, m); err != nil {
-		return err
+	if known {
+		if err := l.restoreStaged(ctx, e.Model, m); err != nil {
+			return err
+		}
 	}
 	if s, ok := l.Reporter.State(); ok && s.Versions[e.Model] >= n.Version {
 		// The engine already serves the version; its staged pieces are only for peers.
@@ -60,6 +68,11 @@
 	began := time.Now()
 	l.fetching.Store(n.Version)
 	defer l.fetching.Store(0)
+	if !known {
+		work, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go l.restoreLater(work, e.Model, m)
+	}
 	if done, err := l.fetch(ctx, e, n, m); !done {
 		return err
 	}
@@ -69,6 +82,26 @@
 	return nil
 }
 
+// mayFetchEarly reports whether the version may be fetched while the engine doesn't
+// respond.
+func (l *Loader) mayFetchEarly(model string, version int64) bool {
+	return time.Since(l.began) > engineWait && isServed(l.State.Endpoints(), l.Service, l.Domain, model, version, time.Now())
+}
+
+// restoreLater waits for the engine, and reads its staged pieces into the store, so that
+// they needn't be fetched.
+func (l *Loader) restoreLater(ctx context.Context, model string, m *manifest) {
+	for ctx.Err() == nil {
+		if _, known := l.Reporter.State(); known {
+			if err := l.restoreStaged(ctx, model, m); err != nil && ctx.Err() == nil {
+				l.Log.Warn().Err(err).Msg("staged-pieces-not-restored")
+			}
+			return
+		}
+		_ = sleeper.Sleep(ctx, pollInterval)
+	}
+}
+
 // setComplete records that the store has all pieces of a version.
 func (l *Loader) setComplete(version int64) {
 	for {
