--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -133,8 +133,13 @@
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return listener.IgnoreStop(work, a.relay.Run(work)) })
 	g.Go(func() error { return listener.IgnoreStop(work, a.back.run(work)) })
-	g.Go(func() error { return listener.Serve(outer.server, outer.listener) })
-	g.Go(func() error { return listener.Serve(local.server, local.listener) })
+	servers := []*listener.Drainer{
+		{Server: outer.server, Listener: outer.listener},
+		{Server: local.server, Listener: local.listener},
+	}
+	for _, s := range servers {
+		g.Go(s.Serve)
+	}
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -143,8 +148,11 @@
 		}
 		c, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.StopTimeout)
 		defer cancel()
-		_ = outer.server.Shutdown(c)
-		_ = local.server.Shutdown(c)
+		for _, s := range servers {
+			if err := s.Drain(c); err != nil {
+				a.Log.Warn().Err(err).Msg("planned stop timed out")
+			}
+		}
 		stop()
 		return nil
 	})
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -114,8 +114,7 @@
 			continue
 		}
 		s := newServer(h)
-		err := serve(ctx, e, address, s)
-		if err != nil {
+		if _, err := serve(ctx, e, address, s); err != nil {
 			return err
 		}
 		context.AfterFunc(ctx, func() { _ = s.Close() })
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -134,7 +134,7 @@
 	}
 	cancel()
 	for _, s := range servers {
-		_ = s.Close()
+		_ = s.Server.Close()
 	}
 	return e.Wait()
 }
@@ -176,7 +176,7 @@
 }
 
 // serve starts the HTTP servers. The first one returned is that for callers.
-func (g *Gateway) serve(ctx context.Context, e *errgroup.Group) ([]*http.Server, error) {
+func (g *Gateway) serve(ctx context.Context, e *errgroup.Group) ([]*listener.Drainer, error) {
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+g.Platform.ReadyPath, g.ready)
 	peers := http.NewServeMux()
@@ -185,7 +185,7 @@
 		address netip.AddrPort
 		handler http.Handler
 	}{{g.Front, g.front}, {g.Ready, ready}, {g.Peers, peers}, {g.Metrics, g.Meter.Handler}}
-	var servers []*http.Server
+	var servers []*listener.Drainer
 	for _, s := range all {
 		if !s.address.IsValid() {
 			continue
@@ -194,10 +194,11 @@
 		if s.address == g.Front {
 			h.ConnContext, h.ConnState = forwarder.WithCaller, g.callers.ConnState
 		}
-		if err := serve(ctx, e, s.address, h); err != nil {
+		d, err := serve(ctx, e, s.address, h)
+		if err != nil {
 			return nil, err
 		}
-		servers = append(servers, h)
+		servers = append(servers, d)
 	}
 	return servers, nil
 }
@@ -213,7 +214,7 @@
 
 // stop reports not ready, goes on serving for BalancerWait so that the load balancer
 // notices, and then waits for running requests until StopTimeout has nearly passed.
-func (g *Gateway) stop(servers []*http.Server) {
+func (g *Gateway) stop(servers []*listener.Drainer) {
 	began := time.Now()
 	g.Log.Info().Msg("stop")
 	g.stopping.Store(true)
@@ -222,7 +223,7 @@
 	time.Sleep(g.BalancerWait)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.StopTimeout-exitMargin))
 	defer cancel()
-	err := servers[0].Shutdown(ctx)
+	err := servers[0].Drain(ctx)
 	g.Log.Info().AnErr("cut", err).Dur("took-ms", time.Since(began)).Msg("stopped")
 }
 
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -26,11 +26,12 @@
 
 // serve listens on the address and serves in a goroutine of the group until the
 // server is closed.
-func serve(ctx context.Context, e *errgroup.Group, a netip.AddrPort, s *http.Server) error {
+func serve(ctx context.Context, e *errgroup.Group, a netip.AddrPort, s *http.Server) (*listener.Drainer, error) {
 	l, err := listener.Open(ctx, a)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	e.Go(func() error { return listener.Serve(s, l) })
-	return nil
+	d := &listener.Drainer{Server: s, Listener: l}
+	e.Go(d.Serve)
+	return d, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,8 +118,8 @@
 	}
 	x := &relayer.Exchanger{Server: g.server, Peers: g.peerGateways, Credentials: servers.credentials}
 	t.Go(func() error { return listener.IgnoreStop(work, x.Run(work)) })
-	t.Go(func() error { return listener.Serve(servers.callers, l.callers) })
-	t.Go(func() error { return listener.Serve(servers.peers, l.peers) })
+	t.Go(servers.callers.Serve)
+	t.Go(servers.peers.Serve)
 	t.Go(func() error { return servers.operators.Serve(l.operators) })
 	t.Go(func() error { return servers.relay.Serve(l.relay) })
 	t.Go(func() error {
@@ -143,8 +143,8 @@
 	c, cancel := context.WithTimeout(context.Background(), g.StopTimeout)
 	defer cancel()
 	var t errgroup.Group
-	t.Go(func() error { return s.callers.Shutdown(c) })
-	t.Go(func() error { return s.peers.Shutdown(c) })
+	t.Go(func() error { return s.callers.Drain(c) })
+	t.Go(func() error { return s.peers.Drain(c) })
 	if err := t.Wait(); err != nil {
 		g.Log.Warn().Err(err).Msg("planned stop timed out")
 	}
@@ -231,7 +231,7 @@
 }
 
 type servers struct {
-	callers, peers   *http.Server
+	callers, peers   *listener.Drainer
 	operators, relay *grpc.Server
 	credentials      credentials.TransportCredentials
 }
@@ -255,11 +255,13 @@
 	}
 	o := g.operatorServer()
 	s := &servers{
-		callers: &http.Server{
+		callers: &listener.Drainer{Listener: l.callers, Server: &http.Server{
 			Handler: g.callerRoutes(), TLSConfig: outer, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeader,
 			ConnState: (&listener.Trimmer{Most: most}).ConnState,
-		},
-		peers:       &http.Server{Handler: http.HandlerFunc(g.servePeer), TLSConfig: inner, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeader},
+		}},
+		peers: &listener.Drainer{Listener: l.peers, Server: &http.Server{
+			Handler: http.HandlerFunc(g.servePeer), TLSConfig: inner, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeader,
+		}},
 		operators:   grpc.NewServer(append(o.Options(), grpc.Creds(authenticator.Credentials(outer)))...),
 		relay:       grpc.NewServer(append(relayer.ServerOptions(), grpc.Creds(authenticator.Credentials(inner)))...),
 		credentials: authenticator.Credentials(client),
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -25,14 +25,14 @@
 	return netip.AddrPort{}
 }
 
-// Serve accepts connections until the server is shut down, using TLS if the server
-// has a TLS configuration. It returns nil after a shutdown.
+// Serve accepts connections until the server is shut down or the listener is closed, using
+// TLS if the server has a TLS configuration. It returns nil then.
 func Serve(s *http.Server, l net.Listener) error {
 	serve := s.Serve
 	if s.TLSConfig != nil {
 		serve = func(l net.Listener) error { return s.ServeTLS(l, "", "") }
 	}
-	if err := serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
