dispatcher: the cold rate goes to the gateways that share an engine

Cause: found by reading. Thirteen gateways that ranked first for a cold engine could send one request a second each, but only five of 60 prefer it, so that after a loss of power, when all engines are cold for 3 s, most of the rate was nobody's.

Change: the five sharers get two requests a second each. Plain services keep the order of rank, with up to five senders.

--- a/dispatcher/cold.go
+++ b/dispatcher/cold.go
@@ -25,8 +25,9 @@
 
 // coldShare is the part of the rate limit of a cold endpoint that one gateway may use.
 // The limit is divided among more gateways than are expected to run, so that gateways
-// needn't coordinate. If that leaves less than one request to each, only the senders
-// that rank first for an endpoint send to it.
+// needn't coordinate. If that leaves less than one request to each, only a few senders
+// send to an endpoint: those that prefer an engine, and those that rank first for an
+// endpoint of a plain service.
 type coldShare struct {
 	// requests is the number of requests per second.
 	requests int
@@ -44,7 +45,30 @@
 	if n := int(limit / float64(max(minGateways, gatewayFactor*gateways))); n > 0 {
 		return coldShare{requests: n}
 	}
-	return coldShare{requests: 1, senders: max(1, int(limit/gatewayFactor))}
+	half := max(1, int(limit/gatewayFactor))
+	senders := min(half, maxSharers)
+	return coldShare{requests: half / senders, senders: senders}
+}
+
+// updateCold sets the number of requests per second that this gateway may send to each
+// cold endpoint.
+func (d *Dispatcher) updateCold(p *pool) {
+	now := d.now()
+	for _, n := range p.nodes {
+		if now.Before(n.coldUntil) {
+			n.coldShare = d.coldRequests(p, n)
+		}
+	}
+}
+
+func (d *Dispatcher) coldRequests(p *pool, n *node) int {
+	if p.model != "" && p.cold.senders == maxSharers {
+		if n.preferred {
+			return p.cold.requests
+		}
+		return 0
+	}
+	return p.cold.at(n.ID, d.Name, d.gatewayNames)
 }
 
 // at returns the number of requests per second that the gateway with the name self may
--- a/dispatcher/cold_test.go
+++ b/dispatcher/cold_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+
+	"github.com/eelgrassdrift/eelgrassdrift/observer"
 )
 
 // coldRequests returns the largest number of requests per second that gateways send to
@@ -60,3 +62,30 @@
 		}
 	}
 }
+
+// The gateways that prefer a cold engine must keep its limit, and must be able to use most
+// of their half of it. Of 13 senders most did not prefer the engine and sent nothing.
+func TestColdLimitOfSharers(t *testing.T) {
+	c := ColdLimit{Factor: 1.5, Slack: 5}
+	const rate, limit = 15, 27.5
+	for _, n := range []int{14, 18, 60, 300} {
+		var all []*observer.Gateway
+		for i := range n {
+			all = append(all, &observer.Gateway{Name: gatewayName(i), Domain: fmt.Sprint(i % 5)})
+		}
+		for e := range 40 {
+			sum := 0
+			for i := range n {
+				d := &Dispatcher{Name: gatewayName(i), gatewayList: all}
+				p := &pool{model: "m", cold: c.share(rate, n), nodes: map[string]*node{}}
+				o := &node{Endpoint: observer.Endpoint{ID: fmt.Sprintf("e%d", e), Domain: fmt.Sprint(e % 5)}}
+				p.nodes["e"] = o
+				d.updateSharers(p, true)
+				sum += d.coldRequests(p, o)
+			}
+			if float64(sum) > limit || float64(sum) < limit/3 {
+				t.Fatalf("%d gateways: %d requests a second to endpoint %d, want %.1f to %.1f", n, sum, e, limit/3, limit)
+			}
+		}
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -112,6 +112,7 @@
 		}
 		d.updateNodes(p, s, list, evacuated)
 		d.updateSharers(p, rank)
+		d.updateCold(p)
 		d.grant(p)
 	}
 	d.listed = true
@@ -167,9 +168,6 @@
 		n.Endpoint = *e
 		p.addAddress(n)
 		n.Draining = e.Draining || evacuated[e.Domain]
-		if now.Before(n.coldUntil) {
-			n.coldShare = p.cold.at(id, d.Name, d.gatewayNames)
-		}
 	}
 }
 
