dispatcher: entries of processes that are gone get no requests

Change: an entry gets no request if a newer one has the same address, or if the agent there reports a process that started later. Such a report also makes the gateway read the list again, at most every 0.25 s.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -33,6 +33,9 @@
 	// IsCurrent reports whether State was read after the last pause of the process; nil
 	// means that it always is. Until then requests wait in the queue.
 	IsCurrent func() bool
+	// Outdated is called, with a lock held, when an agent reports a process that the
+	// endpoint list lacks; it may be nil and must not block.
+	Outdated func()
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
 
@@ -101,6 +104,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.gatewayNames = names
+	starts := newestStarts(list)
 	rank := !slices.Equal(gateways, d.gatewayList)
 	d.gatewayList = gateways
 	d.gateways = max(len(names), 1)
@@ -111,6 +115,9 @@
 			d.updatePool(p, s)
 		}
 		d.updateNodes(p, s, list, evacuated)
+		for _, n := range p.nodes {
+			n.newestStart = starts[n.Address]
+		}
 		d.updateSharers(p, rank)
 		d.updateCold(p)
 		d.grant(p)
@@ -178,7 +185,11 @@
 	defer d.mu.Unlock()
 	for _, p := range d.pools {
 		n := p.byAddress[r.Address]
-		if n == nil || !r.Started.IsZero() && !n.Started.IsZero() && !n.Started.Equal(r.Started) {
+		if n == nil {
+			continue
+		}
+		if !r.Started.IsZero() && !n.Started.IsZero() && !n.Started.Equal(r.Started) {
+			d.noteStart(n, r)
 			continue
 		}
 		if r.Versions[p.model] != n.report.Versions[p.model] {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -67,7 +67,7 @@
 	}}}, nil
 }
 
-// decodeEndpoint reads "DOMAIN VERSION [draining] [cold=MS] [started=N]".
+// decodeEndpoint reads "DOMAIN VERSION [draining] [cold=MS] [started=N] [port=N]".
 func decodeEndpoint(key string, v []byte) (*observer.Endpoint, error) {
 	f := strings.Fields(string(v))
 	n, _ := strconv.ParseInt(f[1], 10, 64)
@@ -84,6 +84,8 @@
 			e.Cold = time.Duration(n) * time.Millisecond
 		case "started":
 			e.Started = time.Unix(int64(n), 0)
+		case "port":
+			e.Address = netip.AddrPortFrom(e.Address.Addr(), uint16(n))
 		}
 	}
 	return e, nil
@@ -127,19 +129,24 @@
 	return ""
 }
 
-// report ID VERSION LOAD [closed]
+// report ID VERSION LOAD [closed] [queued=N] [started=N]
 func (w *harness) report(f []string) {
 	port, _ := strconv.Atoi(f[1][1:])
 	v, _ := strconv.ParseInt(f[2], 10, 64)
 	load, _ := strconv.Atoi(f[3])
-	queued := 0
+	queued, started := 0, time.Time{}
 	for _, a := range f[4:] {
-		if k, v, _ := strings.Cut(a, "="); k == "queued" {
-			queued, _ = strconv.Atoi(v)
+		k, v, _ := strings.Cut(a, "=")
+		n, _ := strconv.Atoi(v)
+		switch k {
+		case "queued":
+			queued = n
+		case "started":
+			started = time.Unix(int64(n), 0)
 		}
 	}
 	w.d.Report(dispatcher.Report{
-		Address:  netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(port)),
+		Started: started, Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(port)),
 		Versions: map[string]int64{"m": v}, Load: load, Queued: queued, Closed: slices.Contains(f, "closed"),
 	})
 }
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -73,6 +73,10 @@
 	// that has been determined.
 	preferred, ranked bool
 
+	// newestStart is the latest start of any process at the address by the list, and
+	// reportedStart the start of a process that the list lacks, by a report.
+	newestStart, reportedStart time.Time
+
 	// prefill is the estimated time that the engine takes to process those prompts of
 	// this gateway that it hasn't finished yet.
 	prefill time.Duration
--- /dev/null
+++ b/dispatcher/outdated.go
@@ -0,0 +1,41 @@
+package dispatcher
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/eelgrassdrift/eelgrassdrift/observer"
+)
+
+// After a loss of power the list still holds the entries of processes that are gone, until
+// they expire some seconds later. A request that is sent to such an entry is refused by the
+// process that runs at the address now, and uses up an attempt and the retry budget.
+
+// newestStarts returns the latest start of any process at each address of the list.
+func newestStarts(list map[string]*observer.Endpoint) map[netip.AddrPort]time.Time {
+	m := make(map[netip.AddrPort]time.Time, len(list))
+	for _, e := range list {
+		if e.Started.After(m[e.Address]) {
+			m[e.Address] = e.Started
+		}
+	}
+	return m
+}
+
+// isReplaced reports whether another process runs at the address of the endpoint: a newer
+// one is on the list, or has been reported by the instance.
+func (n *node) isReplaced() bool {
+	return !n.Started.IsZero() && (n.newestStart.After(n.Started) || n.reportedStart.After(n.Started))
+}
+
+// noteStart records the start of the process that an agent reports. If the list lacks that
+// process, Outdated is called.
+func (d *Dispatcher) noteStart(n *node, r Report) {
+	if n.Started.IsZero() || !r.Started.After(n.Started) {
+		return
+	}
+	n.reportedStart = r.Started
+	if d.Outdated != nil {
+		d.Outdated()
+	}
+}
--- a/dispatcher/pick.go
+++ b/dispatcher/pick.go
@@ -35,10 +35,10 @@
 )
 
 // isAllowed reports whether the request may go to the endpoint, regardless of load:
-// the endpoint is not draining or excluded, its region is allowed, and it serves a
-// version that may be used when the request begins.
+// the endpoint is not draining, replaced or excluded, its region is allowed, and it serves
+// a version that may be used when the request begins.
 func (d *Dispatcher) isAllowed(p *pool, n *node, r Request, now time.Time) bool {
-	if n.Draining || !r.Match.Allows(n.Region) || slices.Contains(r.Exclude, n.ID) {
+	if n.Draining || n.isReplaced() || !r.Match.Allows(n.Region) || slices.Contains(r.Exclude, n.ID) {
 		return false
 	}
 	if p.model == "" {
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -67,7 +67,9 @@
 	earliest func(from time.Time) time.Time
 	// changed is called after each change of the state; it may be nil.
 	changed func()
-	log     zerolog.Logger
+	// outdated wakes the reader of the endpoint list.
+	outdated chan struct{}
+	log      zerolog.Logger
 
 	operators, endpoints, gateways observer.Table
 	outline                        *observer.View
@@ -76,7 +78,7 @@
 func newFollower(p *Platform, store, self netip.AddrPort, domain string, regions map[string]string, log zerolog.Logger) *follower {
 	c := newClient()
 	f := &follower{
-		tables: p.Tables(store, c), client: c, self: self, domain: domain, regions: regions, log: log,
+		tables: p.Tables(store, c), outdated: make(chan struct{}, 1), client: c, self: self, domain: domain, regions: regions, log: log,
 		state: &observer.State{
 			Decode: p.DecodeOperator, DecodeEndpoint: p.EndpointDecoder(regions), DecodeGateway: p.DecodeGateway, Now: timekeeper.Now, Log: log,
 		},
@@ -179,7 +181,7 @@
 func (f *follower) run(ctx context.Context, agent bool) error {
 	list := &observer.Follower{
 		Name: endpointTable, Table: &f.endpoints, Sources: f.sources(endpointTable, f.tables.Endpoints, agent),
-		Pace: agentListInterval, Log: f.log, Reconnect: f.client.CloseIdleConnections, Failed: f.state.ListFailed,
+		Pace: agentListInterval, Wake: f.outdated, Log: f.log, Reconnect: f.client.CloseIdleConnections, Failed: f.state.ListFailed,
 		Changed: func(u observer.Update) {
 			f.state.ApplyEndpoints(u.Fresh, u.First)
 			f.notify(len(u.Fresh) > 0)
@@ -216,6 +218,14 @@
 	return g.Wait()
 }
 
+// listOutdated makes the follower read the endpoint list soon.
+func (f *follower) listOutdated() {
+	select {
+	case f.outdated <- struct{}{}:
+	default:
+	}
+}
+
 func (f *follower) notify(changed bool) {
 	if changed && f.changed != nil {
 		f.changed()
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -152,7 +152,7 @@
 	g.dispatcher = &dispatcher.Dispatcher{
 		Name: g.Name, Domain: g.Domain, Region: g.Region, Cold: g.Cold, State: g.follower.state,
 		Grace: time.Duration(float64(g.MaxVersionDelay) * graceShare), MaxVersionDelay: g.MaxVersionDelay,
-		IsCurrent: g.isCurrent,
+		IsCurrent: g.isCurrent, Outdated: g.follower.listOutdated,
 	}
 	g.front = &forwarder.Handler{
 		Headers: g.Platform.Headers, Dispatcher: g.dispatcher, Transport: &forwarder.Transport{},
--- a/observer/follower.go
+++ b/observer/follower.go
@@ -34,6 +34,8 @@
 	// maxConfirmedAge is the age of a table up to which it is up to date when a read
 	// begins. It allows for the pause between two reads.
 	maxConfirmedAge = 300 * time.Millisecond
+	// minWakePause is the shortest pause that Wake leaves between two reads.
+	minWakePause = 250 * time.Millisecond
 	// failedRoundDelay is the pause after no source has responded.
 	failedRoundDelay = 150 * time.Millisecond
 )
@@ -74,6 +76,9 @@
 	Pace time.Duration
 	// WaitFunc and PaceFunc replace Wait and Pace unless they are nil.
 	WaitFunc, PaceFunc func() time.Duration
+	// Wake ends the pause between two reads early, but not within minWakePause of the last
+	// read. It may be nil.
+	Wake <-chan struct{}
 	// Changed is called after each successful read.
 	Changed func(Update)
 	// Earliest returns the earliest time of an event that the process began to wait for
@@ -110,11 +115,29 @@
 		case f.Table.Next() == 0:
 			pause = max(pause, emptyTableDelay)
 		}
-		_ = sleeper.Sleep(ctx, pause)
+		f.pause(ctx, pause)
 	}
 	return nil
 }
 
+// pause waits for the given time, or until Wake.
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	first := min(d, minWakePause)
+	if f.Wake == nil {
+		first = d
+	}
+	if sleeper.Sleep(ctx, first) != nil || first == d {
+		return
+	}
+	t := time.NewTimer(d - first)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-f.Wake:
+	case <-ctx.Done():
+	}
+}
+
 // readFirstAvailable tries the sources in order and reports whether one responded.
 func (f *Follower) readFirstAvailable(ctx context.Context) bool {
 	for i, s := range f.Sources {
