dispatcher: gateways that start without the others' records

Cause: found in the read-through. A gateway whose record the platform doesn't take when it starts is on nobody's list, and so preferred no engine: it sent requests only to engines with free slots to spare. And a gateway that doesn't know the others yet takes itself for the only one: after a loss of power 60 of them could each send three requests a second to a cold endpoint, which bears 27.5 in all.

Change: a gateway counts itself as a sharer in any case, and sends nothing to cold endpoints until it has read the table of the gateways.

The harness of the scripts now knows one gateway, as a gateway that has read the table does; the scripts' results are the same.

--- a/dispatcher/cold.go
+++ b/dispatcher/cold.go
@@ -51,7 +51,8 @@
 }
 
 // updateCold sets the number of requests per second that this gateway may send to each
-// cold endpoint.
+// cold endpoint. Until it knows the gateways, which it reads when it starts, it sends none:
+// after a loss of power all gateways start at once, and all endpoints are cold.
 func (d *Dispatcher) updateCold(p *pool) {
 	now := d.now()
 	for _, n := range p.nodes {
@@ -62,6 +63,9 @@
 }
 
 func (d *Dispatcher) coldRequests(p *pool, n *node) int {
+	if len(d.gatewayNames) == 0 && p.cold.requests != math.MaxInt {
+		return 0
+	}
 	if p.model != "" && p.cold.senders == maxSharers {
 		if n.preferred {
 			return p.cold.requests
--- a/dispatcher/cold_test.go
+++ b/dispatcher/cold_test.go
@@ -63,6 +63,30 @@
 	}
 }
 
+// A gateway that couldn't write its record must prefer as many engines as others do: it
+// sent requests only to engines with free slots to spare.
+func TestUnlistedGatewayIsSharer(t *testing.T) {
+	var all []*observer.Gateway
+	for i := range 20 {
+		all = append(all, &observer.Gateway{Name: gatewayName(i), Domain: fmt.Sprint(i % 5)})
+	}
+	d := &Dispatcher{Name: "unlisted", Domain: "0", gatewayList: all}
+	p := &pool{model: "m", nodes: map[string]*node{}}
+	for e := range 100 {
+		p.nodes[fmt.Sprint(e)] = &node{Endpoint: observer.Endpoint{ID: fmt.Sprint(e), Domain: fmt.Sprint(e % 5)}}
+	}
+	d.updateSharers(p, true)
+	preferred := 0
+	for _, n := range p.nodes {
+		if n.preferred {
+			preferred++
+		}
+	}
+	if preferred < 10 || preferred > 40 {
+		t.Errorf("prefers %d of 100 engines, want about 25", preferred)
+	}
+}
+
 // The gateways that prefer a cold engine must keep its limit, and must be able to use most
 // of their half of it. Of 13 senders most did not prefer the engine and sent nothing.
 func TestColdLimitOfSharers(t *testing.T) {
@@ -70,13 +94,15 @@
 	const rate, limit = 15, 27.5
 	for _, n := range []int{14, 18, 60, 300} {
 		var all []*observer.Gateway
+		var names []string
 		for i := range n {
 			all = append(all, &observer.Gateway{Name: gatewayName(i), Domain: fmt.Sprint(i % 5)})
+			names = append(names, gatewayName(i))
 		}
 		for e := range 40 {
 			sum := 0
 			for i := range n {
-				d := &Dispatcher{Name: gatewayName(i), gatewayList: all}
+				d := &Dispatcher{Name: gatewayName(i), gatewayList: all, gatewayNames: names}
 				p := &pool{model: "m", cold: c.share(rate, n), nodes: map[string]*node{}}
 				o := &node{Endpoint: observer.Endpoint{ID: fmt.Sprintf("e%d", e), Domain: fmt.Sprint(e % 5)}}
 				p.nodes["e"] = o
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -40,6 +40,7 @@
 		Domain: "a", Region: "ra", State: w.state, Now: w.state.Now,
 		Cold: dispatcher.ColdLimit{Factor: 1.5, Slack: 5}, Grace: 7 * time.Second, MaxVersionDelay: 8 * time.Second,
 	}
+	w.run("gateways 1")
 	return w
 }
 
@@ -105,6 +106,8 @@
 		w.state.ApplyEndpoints([]connector.Item{w.item(f[1], "")}, true)
 	case "operator":
 		w.state.ApplyOperator([]connector.Item{w.item(f[1], strings.Join(f[2:], " "))}, w.now)
+	case "no-gateways":
+		w.state.ApplyGateways([]connector.Item{w.item("g0", "")})
 	case "gateways":
 		n, _ := strconv.Atoi(f[1])
 		for i := range n {
--- a/dispatcher/subset.go
+++ b/dispatcher/subset.go
@@ -89,13 +89,23 @@
 // endpoints if the gateways changed, else of new ones. A plain service has few endpoints,
 // and each gateway uses all of them.
 func (d *Dispatcher) updateSharers(p *pool, all bool) {
+	gateways := d.withSelf()
 	for _, n := range p.nodes {
 		if all || !n.ranked {
-			n.preferred, n.ranked = p.model == "" || isSharer(&n.Endpoint, d.Name, d.gatewayList), true
+			n.preferred, n.ranked = p.model == "" || isSharer(&n.Endpoint, d.Name, gateways), true
 		}
 	}
 }
 
+// withSelf returns the known gateways and this one. A gateway that can't reach the platform
+// when it starts isn't listed, and would prefer no endpoint.
+func (d *Dispatcher) withSelf() []*observer.Gateway {
+	if slices.ContainsFunc(d.gatewayList, func(g *observer.Gateway) bool { return g.Name == d.Name }) {
+		return d.gatewayList
+	}
+	return append(slices.Clip(d.gatewayList), &observer.Gateway{Name: d.Name, Domain: d.Domain})
+}
+
 // tier returns the tier of an endpoint.
 func (n *node) tier(now time.Time) tier {
 	switch {
