distributor: a source that sends a byte now and then is stalled

Cause: each byte of a chunk restarted the stall period. A source that sends one now and then was never hedged, and because a body that is being received counts against the chunks in flight it also held a worker of its queue for good.

Change: after the first bytes of a body, 1 KiB restarts the period.

--- a/distributor/attempt.go
+++ b/distributor/attempt.go
@@ -293,7 +293,7 @@
 	}
 	in := countingReader{body, func(n int) {
 		f.received[s.Level].Add(int64(n))
-		w.progress()
+		w.progress(n)
 	}}
 	var b []byte
 	var err error
--- a/distributor/fetcher_test.go
+++ b/distributor/fetcher_test.go
@@ -95,6 +95,16 @@
 			r.Header().Set("Content-Length", "4096")
 			_, _ = r.Write([]byte("x"))
 		}, 0),
+		Entry("sends a byte now and then", func(r http.ResponseWriter, _ *http.Request) {
+			r.Header().Set("Content-Length", "4096")
+			c := http.NewResponseController(r)
+			for range recorder.MinChunkSize {
+				if _, err := r.Write([]byte("x")); err != nil || c.Flush() != nil {
+					return
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		}, 0),
 		Entry("waits for this instance", func(r http.ResponseWriter, _ *http.Request) {
 			r.Header().Set("Eelgrass-Chunk", "fetching")
 			r.Header().Set("Eelgrass-Source", "self")
--- a/distributor/watch.go
+++ b/distributor/watch.go
@@ -6,7 +6,11 @@
 	"time"
 )
 
-// watchdog detects that no bytes arrive. It calls hedge once after the first stall
+// minProgressBytes is the number of bytes that restart a stall period, beside the first ones
+// of a body. A source that sends a byte now and then would otherwise hold a chunk forever.
+const minProgressBytes = 1 << 10
+
+// watchdog detects that too few bytes arrive. It calls hedge once after the first stall
 // period, and cancels the request after cancelStalls further ones.
 type watchdog struct {
 	stall time.Duration
@@ -17,10 +21,14 @@
 	cancel  context.CancelCauseFunc
 	fired   bool
 	stopped bool
+	// begun reports whether any bytes arrived, and bytes counts those since the last
+	// restart.
+	begun bool
+	bytes int
 }
 
-// newWatchdog starts a watchdog; the first byte is due within begin, each later one
-// within stall.
+// newWatchdog starts a watchdog; the first byte is due within begin, and then
+// minProgressBytes in each stall period.
 func newWatchdog(begin, stall time.Duration, cancel context.CancelCauseFunc, hedge func()) *watchdog {
 	w := &watchdog{stall: stall, hedge: hedge, cancel: cancel}
 	w.mu.Lock()
@@ -43,13 +51,16 @@
 	}
 }
 
-// progress restarts the stall period after bytes arrived.
-func (w *watchdog) progress() {
+// progress restarts the stall period after enough bytes arrived.
+func (w *watchdog) progress(n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.stopped {
-		w.timer.Reset(w.stall)
+	w.bytes += n
+	if w.stopped || w.begun && w.bytes < minProgressBytes {
+		return
 	}
+	w.begun, w.bytes = true, 0
+	w.timer.Reset(w.stall)
 }
 
 func (w *watchdog) stop() {
