sender, receiver: callers that stop reading or send a byte now and then

Cause: a write to a caller had no time limit. A caller that stops reading held the slot of an endpoint, up to 8 MiB of buffered body, a connection and a goroutine for as long as it stayed connected. With agents in front, a body that came a byte at a time was read without end.

Change: a caller has 5 s for each 32 KiB of its response (direct and with agents, forwarder, gateway and agent), and no other endpoint is tried when it is lost. Bodies at gateways and agents are complete by the time limit of a request or get 408. A caller that reads or sends slowly is not cut.

Tests: TestCallerStopsReading, TestBodyTrickles; both failed first. TestCallerReadsSlowly, TestWriter.

--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/problem"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sender"
 	"github.com/eelgrassdrift/eelgrassdrift/limiter"
 )
 
@@ -33,14 +34,14 @@
 
 // arrive reads the whole request, so that a cut one is refused before any work.
 func (a *Agent) arrive(w http.ResponseWriter, q *http.Request) (*visit, context.Context, context.CancelFunc, bool) {
-	v := &visit{agent: a, w: w, q: q, id: q.Header.Get(header.RequestID), begun: time.Now()}
+	v := &visit{agent: a, w: &sender.Writer{ResponseWriter: w}, q: q, id: q.Header.Get(header.RequestID), begun: time.Now()}
 	left := header.Remaining(q.Header, maxTime)
 	if left <= 0 {
 		v.refuse("deadline", "the deadline has passed")
 		return nil, nil, nil, false
 	}
 	ctx, stop := context.WithTimeout(q.Context(), left)
-	b, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxBody))
+	b, err := receiver.Body(v.w, q, maxBody, v.begun.Add(left))
 	if err != nil {
 		stop()
 		v.refuse("body", "the request body is not whole: "+err.Error())
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -18,10 +18,13 @@
 	callerIdleTimeout = 75 * time.Second
 	// headerTimeout limits the time to read the headers of a request.
 	headerTimeout = 5 * time.Second
+	// responseTimeout is the initial limit of the time to write a response. It exceeds the
+	// long polls of peers; handlers that send parts extend it.
+	responseTimeout = 30 * time.Second
 )
 
 func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, WriteTimeout: responseTimeout, IdleTimeout: callerIdleTimeout}
 }
 
 // serve listens on the address and serves in a goroutine of the group until the
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -2,8 +2,8 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +14,8 @@
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/problem"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sender"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/registrar"
 	"github.com/eelgrassdrift/eelgrassdrift/router"
@@ -55,7 +57,7 @@
 
 // serveCaller authenticates, admits and serves one request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, q *http.Request) {
-	c := &call{gateway: g, w: w, q: q, id: uuid.NewString(), begun: time.Now()}
+	c := &call{gateway: g, w: &sender.Writer{ResponseWriter: w}, q: q, id: uuid.NewString(), begun: time.Now()}
 	c.callerID = q.Header.Get(header.CallerID)
 	if c.callerID == "" || len(c.callerID) > maxCallerID {
 		c.callerID = c.id
@@ -106,7 +108,10 @@
 		c.w.Header().Set("WWW-Authenticate", "Bearer")
 		return refuse(http.StatusUnauthorized, "a valid key is needed in the header Authorization")
 	}
-	b, err := io.ReadAll(http.MaxBytesReader(c.w, c.q.Body, maxBody))
+	b, err := receiver.Body(c.w, c.q, maxBody, c.begun.Add(c.gateway.RequestTimeout))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return refuse(http.StatusRequestTimeout, "the body is not complete after "+c.gateway.RequestTimeout.String())
+	}
 	if err != nil {
 		var m *http.MaxBytesError
 		if errors.As(err, &m) {
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -9,6 +9,8 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/problem"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sender"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/registrar"
 	"github.com/eelgrassdrift/eelgrassdrift/retrier"
@@ -27,14 +29,14 @@
 // picks endpoints of its own failure domain only, so that a request is forwarded
 // between failure domains at most once.
 func (g *Gateway) servePeer(w http.ResponseWriter, q *http.Request) {
-	c := &call{gateway: g, w: w, q: q, id: q.Header.Get(header.RequestID), callerID: q.Header.Get(header.CallerID), begun: time.Now()}
+	c := &call{gateway: g, w: &sender.Writer{ResponseWriter: w}, q: q, id: q.Header.Get(header.RequestID), callerID: q.Header.Get(header.CallerID), begun: time.Now()}
 	c.account = &registrar.ClientAccount{}
 	c.account.Name = recorder.Name(q.Header.Get(header.Account))
 	c.account.Priority = header.Int(q.Header, header.Priority, 0)
 	c.version = recorder.Name(q.Header.Get(header.Version))
 	c.position = uint64(max(0, header.Int(q.Header, header.ResumeFrom, 0)))
 	pinned := c.version
-	b, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxBody))
+	b, err := receiver.Body(c.w, q, maxBody, c.begun.Add(g.RequestTimeout))
 	if err != nil {
 		problem.New(http.StatusServiceUnavailable, header.NotRun, "the body is not whole").Write(w)
 		return
