loader, direct: digests of a new version without delays one after the other

The instances that ask the origin for its digests first asked three peers one after the other, over links that were full, with 0.3 s for each: they reached the origin at 20.5 s. And a request for a manifest that the origin accepted and never answered held up the instance for good (found while looking for stalled streams).

Change: all peers are asked at once; an instance that may ask the origin waits 50 ms for them. The two manifests that are compared are read at the same time, and are given up after 1.5 s without a byte. The threshold of slow sources is 512 bytes: TestSlowPieceIsNotReadAgain failed with 1 KiB (its source sends that much in a period).

--- a/distributor/watch.go
+++ b/distributor/watch.go
@@ -8,7 +8,7 @@
 
 // minProgressBytes is the number of bytes that restart a stall period, beside the first ones
 // of a body. A source that sends a byte now and then would otherwise hold a chunk forever.
-const minProgressBytes = 1 << 10
+const minProgressBytes = 512
 
 // watchdog detects that too few bytes arrive. It calls hedge once after the first stall
 // period, and cancels the request after cancelStalls further ones.
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -39,8 +39,11 @@
 	// sendTimeout limits sending a chunk, so that a peer that is gone doesn't occupy one
 	// of the maxSentChunks for longer.
 	sendTimeout = time.Second
-	// digestTimeout limits a request for digests to one peer.
-	digestTimeout = 300 * time.Millisecond
+	// digestTimeout limits the requests for digests to peers. An instance that asks the
+	// origin waits for originDigestDelay only: no peer can know a version that has just been
+	// named, and the origin may become unavailable.
+	digestTimeout     = 300 * time.Millisecond
+	originDigestDelay = 50 * time.Millisecond
 	// keepDigestsTimeout limits the writes of digests to the gateway table.
 	keepDigestsTimeout = 2 * time.Second
 )
@@ -251,13 +254,16 @@
 	if len(all) > 0 {
 		near = append(near, all[rand.IntN(len(all))])
 	}
-	for _, m := range near {
-		if m.Address == a.Peers {
-			continue
-		}
-		if d, err := a.requestDigests(ctx, m.Address, version); err == nil {
-			return d, nil
-		}
+	wait := digestTimeout
+	if asksOrigin {
+		wait = originDigestDelay
+	}
+	near = slices.DeleteFunc(near, func(m distributor.Member) bool { return m.Address == a.Peers })
+	d := firstDigests(ctx, near, wait, func(ctx context.Context, m distributor.Member) ([][32]byte, error) {
+		return a.requestDigests(ctx, m.Address, version)
+	})
+	if d != nil {
+		return d, nil
 	}
 	k := classifier.Refused
 	if asksOrigin || rand.Float64() < originProbability {
@@ -288,8 +294,6 @@
 }
 
 func (a *Agent) requestDigests(ctx context.Context, peer netip.AddrPort, version int64) ([][32]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, digestTimeout)
-	defer cancel()
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+"/v1/digests/"+strconv.FormatInt(version, 10), http.NoBody)
 	if err != nil {
 		return nil, errors.Wrap(err, "ask for digests")
--- a/internal/direct/digests.go
+++ b/internal/direct/digests.go
@@ -1,11 +1,45 @@
 package direct
 
 import (
+	"context"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/eelgrassdrift/eelgrassdrift/distributor"
 )
 
+// firstDigests asks all peers at once and returns the first digests, or nil if none has sent
+// any within the given time.
+func firstDigests(ctx context.Context, peers []distributor.Member, wait time.Duration,
+	ask func(ctx context.Context, m distributor.Member) ([][32]byte, error),
+) [][32]byte {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	answers := make(chan [][32]byte, len(peers))
+	for _, m := range peers {
+		go func() {
+			d, err := ask(ctx, m)
+			if err != nil {
+				d = nil
+			}
+			answers <- d
+		}()
+	}
+	for range peers {
+		select {
+		case d := <-answers:
+			if d != nil {
+				return d
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	return nil
+}
+
 // maxDigests is the largest number of pieces of a version.
 const maxDigests = 1 << 16
 
--- a/loader/spread.go
+++ b/loader/spread.go
@@ -8,11 +8,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/watcher"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
@@ -32,6 +34,14 @@
 // staged pieces responds at once.
 const engineWait = 300 * time.Millisecond
 
+const (
+	// manifestIdleTimeout is the time within which the response of the origin to a request
+	// for digests must begin, and the longest pause in it.
+	manifestIdleTimeout = 1500 * time.Millisecond
+	// manifestTimeout bounds the whole response, which may have some megabytes.
+	manifestTimeout = 15 * time.Second
+)
+
 // piece identifies a piece at the origin.
 type piece struct {
 	model   string
@@ -160,13 +170,22 @@
 // digestsFromOrigin reads the digests of a version twice and compares the responses.
 // They carry no checksum, and no piece would ever match a corrupt digest.
 func (l *Loader) digestsFromOrigin(ctx context.Context, model string, version int64) ([][32]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+	defer cancel()
+	ctx, stop := watcher.WithIdleTimeout(ctx, manifestIdleTimeout, manifestIdleTimeout)
+	defer stop()
 	p := l.Pieces(l.origin)
-	first, err := p.Manifest(ctx, model, version)
-	if err != nil {
-		return nil, err
+	var first, second [][32]byte
+	g, ctx := errgroup.WithContext(ctx)
+	read := func(d *[][32]byte) func() error {
+		return func() (err error) {
+			*d, err = p.Manifest(ctx, model, version)
+			return err
+		}
 	}
-	second, err := p.Manifest(ctx, model, version)
-	if err != nil {
+	g.Go(read(&first))
+	g.Go(read(&second))
+	if err := g.Wait(); err != nil {
 		return nil, err
 	}
 	if !slices.Equal(first, second) {
