platform: a second answer of the store is not taken for another read's

Answers of the store don't name their request. A second copy of one that arrived late, on a connection that was in use again, was decoded as the answer to the read of another topic: the offsets of records that were then never read went to foreign records.

--- a/connector/table.go
+++ b/connector/table.go
@@ -37,6 +37,8 @@
 	Read func(ctx context.Context, from uint64, wait time.Duration) (Changes, error)
 	// Put writes the record of a key; a nil value deletes the key.
 	Put func(ctx context.Context, key string, value []byte) error
+	// Reconnect closes the idle connections to the store.
+	Reconnect func()
 }
 
 // Replica is a client of a model engine to which its own instance uploads weights
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -181,7 +181,7 @@
 func (f *follower) run(ctx context.Context, agent bool) error {
 	list := &observer.Follower{
 		Name: endpointTable, Table: &f.endpoints, Sources: f.sources(endpointTable, f.tables.Endpoints, agent),
-		Pace: agentListInterval, Wake: f.outdated, Log: f.log, Reconnect: f.client.CloseIdleConnections, Failed: f.state.ListFailed,
+		Pace: agentListInterval, Wake: f.outdated, Log: f.log, Reconnect: f.reconnect(f.tables.Endpoints), Failed: f.state.ListFailed,
 		Changed: func(u observer.Update) {
 			f.state.ApplyEndpoints(u.Fresh, u.First)
 			f.notify(len(u.Fresh) > 0)
@@ -189,7 +189,7 @@
 	}
 	operators := &observer.Follower{
 		Name: operatorTable, Table: &f.operators, Sources: f.sources(operatorTable, f.tables.Operators, agent),
-		Wait: decisionWait, Pace: decisionInterval, Log: f.log, Reconnect: f.client.CloseIdleConnections,
+		Wait: decisionWait, Pace: decisionInterval, Log: f.log, Reconnect: f.reconnect(f.tables.Operators),
 		Earliest: f.earliest,
 		Changed: func(u observer.Update) {
 			f.state.ApplyOperator(u.Fresh, u.After)
@@ -218,6 +218,14 @@
 	return g.Wait()
 }
 
+// reconnect returns a function that closes the idle connections to the sources of a table.
+func (f *follower) reconnect(t *connector.Table) func() {
+	return func() {
+		f.client.CloseIdleConnections()
+		t.Reconnect()
+	}
+}
+
 // listOutdated makes the follower read the endpoint list soon.
 func (f *follower) listOutdated() {
 	select {
