direct: reports after an error of the socket, dates of versions at paused agents

Cause: an error of the socket for reports ended the whole gateway. An agent that was paused dated a version that was named meanwhile at the end of its pause, and counted the times of its load and of a superseded version from there.

Change: the gateway logs the error and goes on receiving. Agents note that they run, as gateways do, and date records by the start of a pause.

--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -19,6 +19,8 @@
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/distributor"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 	"github.com/eelgrassdrift/eelgrassdrift/loader"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
@@ -39,6 +41,10 @@
 	// sendTimeout limits sending a chunk, so that a peer that is gone doesn't occupy one
 	// of the maxSentChunks for longer.
 	sendTimeout = time.Second
+	// agentBeatInterval is the interval at which the process notes that it runs, and
+	// maxAgentBeatInterval the time between two notes from which it counts as paused.
+	agentBeatInterval    = 400 * time.Millisecond
+	maxAgentBeatInterval = time.Second
 	// digestTimeout limits the requests for digests to peers. An instance that asks the
 	// origin waits for originDigestDelay only: no peer can know a version that has just been
 	// named, and the origin may become unavailable.
@@ -104,6 +110,7 @@
 	chunks   *distributor.Store
 	loader   *loader.Loader
 	reports  *reportSender
+	monitor  timekeeper.Monitor
 }
 
 // Run serves chunks, reports the state of the engine and loads versions until ctx is
@@ -125,6 +132,7 @@
 	}
 	a.Log.Info().Str("peers", a.Peers.String()).Str("engine", a.Engine.String()).Msg("start")
 	e.Go(func() error { return a.follower.run(ctx, true) })
+	e.Go(func() error { return a.beat(ctx) })
 	e.Go(func() error { return a.loader.Reporter.Run(ctx) })
 	e.Go(func() error { return a.loader.Run(ctx) })
 	err := e.Wait()
@@ -132,9 +140,21 @@
 	return err
 }
 
+// beat lets the monitor notice pauses of the process. A version that is named in a pause must
+// not count as named at its end: its load, and that of a superseded version, would be late.
+func (a *Agent) beat(ctx context.Context) error {
+	for ctx.Err() == nil {
+		a.monitor.Beat()
+		_ = sleeper.Sleep(ctx, agentBeatInterval)
+	}
+	return nil
+}
+
 func (a *Agent) build() error {
 	a.follower = newFollower(a.Platform, a.Store, a.Peers, a.Domain, a.Regions, a.Log)
 	a.follower.seeds = a.Seeds
+	a.monitor.Limit = maxAgentBeatInterval
+	a.follower.earliest = a.monitor.Earliest
 	a.origin = newOriginClient()
 	a.chunks = &distributor.Store{}
 	s, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(a.Peers.Addr(), 0)))
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -58,8 +58,6 @@
 	// graceShare is the part of MaxVersionDelay during which requests may still go to endpoints
 	// with an older version; the rest is for requests that wait at an engine.
 	graceShare = 0.95
-	// maxDatagramBytes is the largest size of a report.
-	maxDatagramBytes = 2048
 )
 
 // Gateway accepts requests from callers and sends them to endpoints. Its exported
@@ -257,22 +255,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
-	b := make([]byte, maxDatagramBytes)
-	for {
-		n, _, err := c.ReadFromUDPAddrPort(b)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return errors.Wrap(err, "receive report of an agent")
-		}
-		var r dispatcher.Report
-		if err := json.Unmarshal(b[:n], &r); err != nil {
-			g.Log.Warn().Err(err).Msg("report-refused")
-			continue
-		}
-		g.dispatcher.Report(r)
-	}
+	r := reportReceiver{Read: c.Read, Report: g.dispatcher.Report, Log: g.Log}
+	r.run(ctx)
+	return nil
 }
 
 // announce writes the gateway record, and retries until the store accepts it.
--- /dev/null
+++ b/internal/direct/receive.go
@@ -0,0 +1,49 @@
+package direct
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
+)
+
+const (
+	// maxDatagramBytes is the largest size of a report.
+	maxDatagramBytes = 2048
+	// receiveRetryDelay is the pause after an error of the socket.
+	receiveRetryDelay = 100 * time.Millisecond
+)
+
+// reportReceiver receives the load reports of agents. Neither a datagram that is no report
+// nor an error of the socket ends it: without reports, a gateway still serves.
+type reportReceiver struct {
+	// Read reads the next datagram.
+	Read   func(b []byte) (int, error)
+	Report func(dispatcher.Report)
+	Log    zerolog.Logger
+}
+
+// run receives reports until ctx is done. Read must fail then.
+func (r *reportReceiver) run(ctx context.Context) {
+	b := make([]byte, maxDatagramBytes)
+	for ctx.Err() == nil {
+		n, err := r.Read(b)
+		if err != nil {
+			if ctx.Err() == nil {
+				r.Log.Warn().Err(err).Msg("reports-not-received")
+			}
+			_ = sleeper.Sleep(ctx, receiveRetryDelay)
+			continue
+		}
+		var v dispatcher.Report
+		if err := json.Unmarshal(b[:n], &v); err != nil {
+			r.Log.Warn().Err(err).Msg("report-refused")
+			continue
+		}
+		r.Report(v)
+	}
+}
