dispatcher: engines that don't begin get no more requests

Change: an engine that hasn't begun a request of this gateway for 1 s, or for three times the usual time to the first token, is used only if there is no other.

--- a/dispatcher/begin.go
+++ b/dispatcher/begin.go
@@ -12,6 +12,10 @@
 	// beginFactor is the assumed upper bound of the ratio of the delay of a request to
 	// the largest recent one. Under overload the delays grow from request to request.
 	beginFactor = 1.5
+	// minStall is the time without a first token after which an engine counts as stalled,
+	// and stallFactor the least ratio of that time to the usual one of the service.
+	minStall    = time.Second
+	stallFactor = 3
 )
 
 // beginDelays tracks how long an engine takes to begin the requests of this gateway.
@@ -69,6 +73,16 @@
 // that waited for the load say nothing about the time after it.
 func (b *beginDelays) forget() { b.recent = b.recent[:0] }
 
+// isStalled reports whether the engine hasn't begun a request of this gateway for long, as
+// behind a link that has become slow. Further requests would wait as long, and arrive when
+// their callers have left.
+func (p *pool) isStalled(n *node, now time.Time) bool {
+	if len(n.begins.pending) == 0 {
+		return false
+	}
+	return now.Sub(n.begins.pending[0].sentAt) > max(minStall, stallFactor*p.firstToken.usual())
+}
+
 // settle records that the request began, or that it ended before. The caller must hold
 // the dispatcher's lock.
 func (l *Lease) settle(begun bool) {
--- a/dispatcher/first_token.go
+++ b/dispatcher/first_token.go
@@ -36,5 +36,11 @@
 	if p == nil {
 		return 0
 	}
-	return time.Duration(p.firstToken.average + firstTokenDeviations*p.firstToken.deviation)
+	return p.firstToken.usual()
+}
+
+// usual returns a time within which most requests get their first token; 0 if it isn't
+// known.
+func (f *firstTokenTime) usual() time.Duration {
+	return time.Duration(f.average + firstTokenDeviations*f.deviation)
 }
--- a/dispatcher/subset.go
+++ b/dispatcher/subset.go
@@ -32,7 +32,8 @@
 	preferredTier tier = iota
 	// spillTier holds all others; they get requests only while they have little to do.
 	spillTier
-	// suspectTier holds endpoints that may be lost. They are used if there are no others.
+	// suspectTier holds endpoints that may be lost or don't begin what they have. They are
+	// used if there are no others.
 	suspectTier
 )
 
@@ -107,9 +108,9 @@
 }
 
 // tier returns the tier of an endpoint.
-func (n *node) tier(now time.Time) tier {
+func (p *pool) tier(n *node, now time.Time) tier {
 	switch {
-	case n.isSuspect(now):
+	case n.isSuspect(now) || p.isStalled(n, now):
 		return suspectTier
 	case n.preferred:
 		return preferredTier
