dispatcher: first requests wait among the late ones in place of a refusal

Before, the half of the first requests that counted as repeated waited for up to 2.5 s and filled the slots that the others left between bursts. Now a first request without a slot was refused after 0.2 s, came back as a late one, and was refused again because under overload late ones were assumed to get one slot in twenty.

Change: a first request that can't be served in time joins the late ones if it is served before half of its time and its caller's patience are over. Late ones may fill 0.9 of an engine's slots under overload (0.75) and are refused by the estimate of one slot in three.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -62,8 +62,9 @@
 	Exclude []string
 	// Until is the time at which a request that is still queued is refused.
 	Until time.Time
-	// HoldUntil replaces Until while no endpoint has a version that may be used and some
-	// are about to load one; the zero value means that the request is refused then.
+	// HoldUntil replaces Until for a request that can't be served in time but soon: all
+	// slots are taken, or no endpoint has a version that may be used and some are about to
+	// load one. The zero value means that the request is refused then.
 	HoldUntil time.Time
 	// Resumed is set for a request that continues a stream which the caller is
 	// already reading. It precedes all others, as the caller notices a pause in a
@@ -238,9 +239,12 @@
 		return d.lease(p, n, r, now), nil, nil
 	}
 	if d.mayHold(p, r, now) {
-		r = r.held()
+		r = r.late()
 	} else if err := d.checkWait(p, r, now); err != nil {
-		return nil, nil, err
+		if !d.mayBeLate(p, r, now, err) {
+			return nil, nil, err
+		}
+		r = r.late()
 	}
 	w := &waiter{pool: p, request: r, rank: r.rank(), since: now, granted: make(chan *Lease, 1)}
 	p.enqueue(w)
--- a/dispatcher/doc.go
+++ b/dispatcher/doc.go
@@ -10,9 +10,11 @@
 //
 // A request that finds all slots taken waits in the pool's queue, by priority and
 // then in the order of arrival, as long as the queue drains fast enough to serve it
-// in time; otherwise it is refused at once with the time after which to retry. A
-// retried request is late anyway; it waits longer, in a separate queue that gets a
-// small part of the slots while there are first requests.
+// in time. A retried request is late anyway; it waits longer, in a separate queue that
+// gets a small part of the slots while there are first requests. A first request that
+// can't be served in time joins that queue if it will be served soon; otherwise it is
+// refused at once with the time after which to retry. Requests are also held there while
+// no endpoint has a version that may be used and some are about to load one.
 //
 // The package opens no connections; the clock and the endpoint list are inputs. It
 // is designed for the arrival of more streams than the engines run at once: an
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 )
 
 // After a loss of all weights, or if a version is due before its successor has been spread,
@@ -14,20 +16,30 @@
 	// maxHeldOutage is how long after the last usable endpoint requests are held. If an
 	// outage takes longer, its end isn't near.
 	maxHeldOutage = 5 * time.Second
-	// heldSlotShare is the part of an endpoint's slots up to which requests that are late
-	// may fill it after such an outage. The rest stays free for requests that arrive.
-	heldSlotShare = 0.5
-	// heldRecovery is the time for which heldSlotShare holds after an outage; about the
-	// longest time that a request is held.
+	// heldRecovery is the time after an outage for which held requests leave free slots, as
+	// under overload; about the longest time that a request is held.
 	heldRecovery = 3 * time.Second
 )
 
-// held returns the request as it is queued while it is held: it will be late.
-func (r Request) held() Request {
+// late returns the request as it is queued if it can't be served in time any more.
+func (r Request) late() Request {
 	r.Until, r.Retried = r.HoldUntil, true
 	return r
 }
 
+// mayBeLate reports whether a first request for which checkWait returned the error waits
+// among the late ones, because these are served before HoldUntil. If it were refused, it
+// would come back as one of them, and its caller would have no further attempt.
+func (d *Dispatcher) mayBeLate(p *pool, r Request, now time.Time, err error) bool {
+	if r.Retried || r.Resumed || classifier.Of(err) != classifier.Exhausted || !now.Before(r.HoldUntil) {
+		return false
+	}
+	return d.checkWait(p, r.late(), now) == nil
+}
+
+// isRecovering reports whether requests were held recently.
+func (p *pool) isRecovering(now time.Time) bool { return now.Sub(p.heldAt) < heldRecovery }
+
 // mayHold reports whether the request waits for an endpoint that is about to load its
 // weights, as none may be used. It records when that state began.
 func (d *Dispatcher) mayHold(p *pool, r Request, now time.Time) bool {
@@ -44,7 +56,7 @@
 	if !loading {
 		return false
 	}
-	if now.Sub(p.heldAt) > heldRecovery {
+	if !p.isRecovering(now) {
 		p.heldSince = now
 	}
 	p.heldAt = now
--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -24,13 +24,16 @@
 	// slotsPerRetried is the number of slots of which one goes to a retried request.
 	// Under lasting overload the first requests then stay in time.
 	slotsPerRetried = 20
+	// slotsPerQueuedRetried is the assumed number of slots of which a retried request gets
+	// one under overload, together with those that first requests leave between bursts.
+	slotsPerQueuedRetried = 3
 	// overloadWindow is how long the service counts as overloaded after the refusal of
 	// a first request; about the time in which a slot becomes free.
 	overloadWindow = time.Second
 	// retriedSlotShare is the part of an endpoint's slots up to which retried requests
 	// may fill it under overload, apart from the one in slotsPerRetried. The rest
 	// stays free for first requests.
-	retriedSlotShare = 0.75
+	retriedSlotShare = 0.9
 	// maxQueue limits the queued requests of one service at one gateway.
 	maxQueue = 512
 )
@@ -121,7 +124,7 @@
 		}
 	}
 	if r.Retried && (len(p.fresh) > 0 || p.isOverloaded(now)) {
-		return n * slotsPerRetried
+		return n * slotsPerQueuedRetried
 	}
 	return n
 }
@@ -136,11 +139,7 @@
 // limit returns the number of requests at the endpoint below which the request may
 // get a slot.
 func (p *pool) limit(n *node, r Request, now time.Time) int {
-	switch {
-	case !r.Retried:
-	case now.Sub(p.heldAt) < heldRecovery:
-		return max(1, int(float64(n.limit())*heldSlotShare))
-	case p.isOverloaded(now) && !p.isRetriedTurn():
+	if r.Retried && (p.isOverloaded(now) || p.isRecovering(now)) && !p.isRetriedTurn() {
 		return max(1, int(float64(n.limit())*retriedSlotShare))
 	}
 	return n.limit()
@@ -201,24 +200,43 @@
 func (d *Dispatcher) await(ctx context.Context, w *waiter) (*Lease, error) {
 	t := time.NewTimer(w.request.Until.Sub(w.since))
 	defer t.Stop()
-	select {
-	case l := <-w.granted:
-		return l, nil
-	case <-t.C:
-		if l := d.cancelWait(w); l != nil {
+	for {
+		select {
+		case l := <-w.granted:
 			return l, nil
+		case <-t.C:
+			if l := d.cancelWait(w); l != nil {
+				return l, nil
+			}
+			wait, err := d.requeueLate(w)
+			if err != nil {
+				return nil, err
+			}
+			t.Reset(wait)
+		case <-ctx.Done():
+			if l := d.cancelWait(w); l != nil {
+				l.Done(Canceled)
+			}
+			return nil, &Error{Op: "acquire", Kind: classifier.Timeout, Reason: "caller-left", Err: ctx.Err()}
 		}
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		return nil, w.pool.refuseFull(w.request, d.now(), "waited", fullRetryAfter)
-	case <-ctx.Done():
-		if l := d.cancelWait(w); l != nil {
-			l.Done(Canceled)
-		}
-		return nil, &Error{Op: "acquire", Kind: classifier.Timeout, Reason: "caller-left", Err: ctx.Err()}
 	}
 }
 
+// requeueLate queues a request that has waited in vain among the late ones, and returns how
+// long it waits there, or the error with which it is refused.
+func (d *Dispatcher) requeueLate(w *waiter) (time.Duration, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p, now := w.pool, d.now()
+	err := p.refuseFull(w.request, now, "waited", fullRetryAfter)
+	if !d.mayBeLate(p, w.request, now, err) {
+		return 0, err
+	}
+	w.request = w.request.late()
+	p.enqueue(w)
+	return w.request.Until.Sub(now), nil
+}
+
 // cancelWait removes the waiter from the queue, or returns the lease that it has been
 // granted in the meantime.
 func (d *Dispatcher) cancelWait(w *waiter) *Lease {
