e2e: a second order to stop

The process catches further signals after the first. With that switched off (signal handling ended at the first signal) both specs failed: streams broken off. They pass with the code as it is: not possible before either.

--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -1,11 +1,14 @@
 package e2e_test
 
 import (
+	"fmt"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
 )
 
 var _ = Describe("Planned stops together", func() {
@@ -54,3 +57,35 @@
 		t.expectNoneLost()
 	})
 })
+
+// An operator or a platform that repeats the order to stop must not end the process at once:
+// requests in progress would be cut off.
+var _ = DescribeTable("A second order to stop cuts off no request", func(pick func(*cluster) *process) {
+	c := settled(layout{gateways: []place{tanta, tanta}, engines: []place{tanta, tanta}, weights: 1 << 20})
+	const streams, tokens = 4, 1000
+	var whole errgroup.Group
+	for i := range streams {
+		body := chat(fmt.Sprintf("stream %d", i), tokens, true)
+		r, err := c.openStream(0, body)
+		Expect(err).NotTo(HaveOccurred())
+		whole.Go(func() error {
+			defer GinkgoRecover()
+			expectWhole(readAnswer(r), body)
+			return nil
+		})
+	}
+	p := pick(c)
+	for range 3 {
+		p.signal(syscall.SIGTERM)
+		time.Sleep(200 * time.Millisecond)
+	}
+	Expect(whole.Wait()).To(Succeed())
+	Eventually(p.done).WithTimeout(30 * time.Second).Should(BeClosed())
+	for _, g := range c.gateways {
+		Expect(g.lines("retry decision", "outcome=failed")).To(BeEmpty())
+		Expect(g.lines("retry decision", "outcome=unknown")).To(BeEmpty())
+	}
+},
+	Entry("of a gateway", func(c *cluster) *process { return c.gateways[0].process }),
+	Entry("of an agent", func(c *cluster) *process { return c.engines[0].agent }),
+)
