--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -1,27 +1,19 @@
 package e2e_test
 
 import (
-	"bytes"
 	"context"
-	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/metadata"
 
-	operatorv1 "github.com/eelgrassdrift/eelgrassdrift/api/operator/v1"
-	"github.com/eelgrassdrift/eelgrassdrift/authenticator"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 )
@@ -275,185 +267,6 @@
 	})).To(Succeed())
 }
 
-// operator returns a client of a gateway's operator API with its context.
-func (c *cluster) operator(i int) (operatorv1.OperatorServiceClient, context.Context) {
-	GinkgoHelper()
-	g, err := grpc.NewClient("passthrough:///"+c.gateways[i].operators, grpc.WithTransportCredentials(authenticator.Credentials(c.tls.client(false))))
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(g.Close)
-	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
-	DeferCleanup(stop)
-	return operatorv1.NewOperatorServiceClient(g), metadata.AppendToOutgoingContext(ctx, "authorization", "Bearer "+operatorKey)
-}
-
-func operation() *operatorv1.Operation { return &operatorv1.Operation{Id: uuid.NewString()} }
-
-// publish stores the weights of a version at the origin and returns it.
-func (c *cluster) publish(name string) recorder.Version {
-	GinkgoHelper()
-	o := connector.NewOrigin(c.store, http.DefaultClient)
-	put := func(d recorder.Digest, b []byte) error { return o.Store(context.Background(), d, b) }
-	w := make([]byte, c.layout.weights)
-	_, _ = rand.Read(w)
-	m, err := recorder.NewManifest(bytes.NewReader(w), 256<<10, put)
-	Expect(err).NotTo(HaveOccurred())
-	b, d, err := m.Encode()
-	Expect(err).NotTo(HaveOccurred())
-	Expect(put(d, b)).To(Succeed())
-	return recorder.Version{Model: "assistant", Name: recorder.Name(name), Manifest: d, Digest: m.Digest, Size: m.Size}
-}
-
-// declare applies the objects that every test needs and starts a rollout of v.
-func (c *cluster) declare(v recorder.Version) {
-	GinkgoHelper()
-	d := c.layout.extra
-	domains := make(map[string]bool)
-	for _, p := range append(append(append([]place{}, c.layout.gateways...), c.layout.engines...), c.layout.services...) {
-		if !domains[p.domain] {
-			domains[p.domain] = true
-			d.FailureDomains = append(d.FailureDomains, recorder.FailureDomain{Name: recorder.Name(p.domain), Region: recorder.Name(p.region)})
-		}
-	}
-	d.Operators = append(d.Operators, recorder.OperatorAccount{Name: "anna", KeyDigests: []recorder.Digest{recorder.DigestOf([]byte(operatorKey))}})
-	d.ClientAccounts = append(d.ClientAccounts, recorder.ClientAccount{
-		Name: "members", KeyDigests: []recorder.Digest{recorder.DigestOf([]byte(callerKey))},
-		RequestsPerSecond: 10_000, Burst: 10_000, Concurrency: 10_000, Weight: 10,
-	})
-	d.Services = append(d.Services, recorder.Service{
-		Name: "booking", Prefix: "/booking/", Timeout: recorder.Duration(10 * time.Second), KeyWindow: recorder.Duration(time.Hour),
-	})
-	if v.Name != "" {
-		m := c.layout.model
-		m.Name = "assistant"
-		if m.OrderTimeout == 0 {
-			m.OrderTimeout = recorder.Duration(30 * time.Second)
-		}
-		d.Models = append(d.Models, m)
-		d.Versions = append(d.Versions, v)
-		d.Rollouts = append(d.Rollouts, rollout("first", v))
-	}
-	c.apply(&d)
-}
-
-func rollout(name string, v recorder.Version) recorder.Rollout {
-	return recorder.Rollout{Name: recorder.Name(name), Model: v.Model, Version: v.Name, MaxOut: 1, Lease: recorder.Duration(20 * time.Second)}
-}
-
-// declareServices applies the objects of a test without a model.
-func (c *cluster) declareServices() { c.declare(recorder.Version{}) }
-
-// apply applies a declaration at the first gateway and expects that it is accepted.
-func (c *cluster) apply(d *recorder.Declaration) {
-	GinkgoHelper()
-	b, err := d.Encode()
-	Expect(err).NotTo(HaveOccurred())
-	o, ctx := c.operator(0)
-	var r *operatorv1.ApplyResponse
-	Eventually(func() error {
-		r, err = o.Apply(ctx, &operatorv1.ApplyRequest{Operation: operation(), Declaration: b})
-		return err
-	}).WithTimeout(platformSettle).Should(Succeed())
-	Expect(r.Outcome.Kind).To(Equal(operatorv1.OutcomeKind_OUTCOME_KIND_ACCEPTED), r.Outcome.Reason)
-}
-
-// ready waits until n endpoints serve the version, as seen by every gateway.
-func (c *cluster) ready(serves, version string, n int, limit time.Duration) {
-	GinkgoHelper()
-	for i := range c.gateways {
-		o, ctx := c.operator(i)
-		Eventually(func() int {
-			r, err := o.Get(ctx, &operatorv1.GetRequest{})
-			if err != nil {
-				return -1
-			}
-			k := 0
-			for _, e := range r.Endpoints {
-				if e.Serves == serves && e.Version == version && e.State == "ready" {
-					k++
-				}
-			}
-			return k
-		}).WithTimeout(limit).Should(Equal(n), "gateway %d", i)
-	}
-}
-
-// answer is a caller's view of one answer.
-type answer struct {
-	status int
-	header http.Header
-	body   string
-	err    error
-}
-
-// call makes one request of a caller at a gateway.
-func (c *cluster) call(gateway int, method, path, key, body string) answer {
-	return c.callAs(callerKey, gateway, method, path, key, body)
-}
-
-// callAs makes one request with a key of an account, or without one.
-func (c *cluster) callAs(account string, gateway int, method, path, key, body string) answer {
-	r, err := c.send(account, gateway, method, path, key, body) //nolint:bodyclose // readAnswer closes it.
-	if err != nil {
-		return answer{err: err}
-	}
-	return readAnswer(r)
-}
-
-// send makes one request and returns when the headers of its answer are here.
-func (c *cluster) send(account string, gateway int, method, path, key, body string) (*http.Response, error) {
-	base, client := url(c.gateways[gateway].callers), http.DefaultClient
-	if c.tls != nil {
-		base, client = "https"+strings.TrimPrefix(base, "http"), c.tls.callers
-	}
-	q, err := http.NewRequest(method, base+path, strings.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	if account != "" {
-		q.Header.Set("Authorization", "Bearer "+account)
-	}
-	q.Header.Set("Content-Type", "application/json")
-	if key != "" {
-		q.Header.Set("Idempotency-Key", key)
-	}
-	return client.Do(q)
-}
-
-// openStream begins a stream and returns when its first bytes are here. New
-// endpoints carry little, so the request may be refused at first; as told, it is
-// then sent again.
-func (c *cluster) openStream(gateway int, body string) (*http.Response, error) {
-	for end := time.Now().Add(10 * time.Second); ; time.Sleep(100 * time.Millisecond) {
-		r, err := c.send(callerKey, gateway, http.MethodPost, "/v1/chat/completions", "", body)
-		if err != nil || r.StatusCode == http.StatusOK {
-			return r, err
-		}
-		a := readAnswer(r)
-		if !a.isRefusal() || time.Now().After(end) {
-			return nil, fmt.Errorf("status %d: %s", a.status, a.body)
-		}
-	}
-}
-
-// isRefusal reports whether the request was not run and may be sent again.
-func (a answer) isRefusal() bool {
-	return a.err == nil && (a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests) &&
-		a.header.Get("Retry-After") != "" && a.header.Get("Eelgrass-Outcome") == "not-run"
-}
-
-// readAnswer reads the rest of an answer and closes it.
-func readAnswer(r *http.Response) answer {
-	defer func() { _ = r.Body.Close() }()
-	b, err := io.ReadAll(r.Body)
-	return answer{r.StatusCode, r.Header, string(b), err}
-}
-
-// chat returns the body of a completion request.
-func chat(prompt string, tokens int, stream bool) string {
-	return fmt.Sprintf(`{"model":"assistant","messages":[{"role":"user","content":%s}],"max_tokens":%d,"stream":%t}`,
-		strconv.Quote(prompt), tokens, stream)
-}
-
 func get(u string) error {
 	r, err := http.Get(u)
 	if err != nil {
