--- a/internal/direct/agent_pause_test.go
+++ b/internal/direct/agent_pause_test.go
@@ -19,9 +19,9 @@
 // pause: it counted the times until which an engine may load the version before from there.
 func TestAgentDatesVersionOfPause(t *testing.T) {
 	p := &Platform{
-		Tables: func(netip.AddrPort, *http.Client) Tables { return Tables{} },
+		Tables:          func(netip.AddrPort, *http.Client) Tables { return Tables{} },
 		EndpointDecoder: noEndpoints,
-		Replica: func(netip.AddrPort, *http.Client) *connector.Replica { return &connector.Replica{} },
+		Replica:         func(netip.AddrPort, *http.Client) *connector.Replica { return &connector.Replica{} },
 	}
 	a := &Agent{Peers: netip.MustParseAddrPort("127.0.0.1:7700"), Platform: p, Log: zerolog.Nop()}
 	if err := a.build(); err != nil {
