relayer: no message is processed after the end of its stream

If the sending direction of a stream fails first, its state is dropped while the receiving one may still hold a message; that message brought the summaries back, and nothing drops them again. The same holds for the status of an agent after it detached.

Change: messages are processed under a gate that the end of the stream closes before the state is dropped, for Exchange and Attach. The link's messages are handled in a function of their own.

Test: TestMessageAfterEndOfStream, failed first.

--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -29,7 +29,8 @@
 
 // link is one end of an Exchange stream.
 type link struct {
-	server *Server
+	server   *Server
+	delivery delivery
 	// stream is the number of the stream in the server's Endpoints.
 	stream uint64
 	peer   *relayv1.Hello
@@ -109,6 +110,7 @@
 	w := newWatchdog(stop, 3*repeatInterval)
 	defer w.end()
 	err := runBothDirections(stop, func() error { return l.receive(w) }, func() error { return l.sendLoop(ctx) })
+	l.delivery.end()
 	s.Endpoints.Demand(l.stream, l.peer, nil)
 	if l.isLocal() {
 		s.Endpoints.dropStream(l.stream)
@@ -138,44 +140,53 @@
 }
 
 func (l *link) receive(w *watchdog) error {
-	s := l.server
 	for {
 		m, err := l.recv()
 		if err != nil {
 			return err
 		}
 		w.reset()
-		switch v := m.GetMessage().(type) {
-		case *relayv1.ExchangeMessage_Offset:
-			s.Replica.ObserveLogEnd(v.Offset)
-			putLatest(l.peerOffsets, v.Offset)
-		case *relayv1.ExchangeMessage_Want:
-			putLatest(l.peerWants, v.Want.After)
-		case *relayv1.ExchangeMessage_Record:
-			if err := s.Replica.Apply(v.Record.Offset, v.Record.Body); err != nil {
-				s.Log.Debug().Err(err).Str("peer", l.peer.Instance).Msg("record from peer refused")
-			}
-		case *relayv1.ExchangeMessage_Snapshot:
-			if err := installSnapshot(s.Replica, v.Snapshot); err != nil {
-				return err
-			}
-		case *relayv1.ExchangeMessage_Status:
-			// The endpoint may be of another failure domain, which has lost its gateways.
-			if l.isLocal() {
-				s.Endpoints.reportFromPeer(l.stream, v.Status)
-			}
-		case *relayv1.ExchangeMessage_Detached:
-			s.Endpoints.detachFromPeer(l.stream, v.Detached)
-		case *relayv1.ExchangeMessage_Demand:
-			s.Endpoints.Demand(l.stream, l.peer, v.Demand)
-		case *relayv1.ExchangeMessage_Summaries:
-			// A failure domain without endpoints sends an empty list; nil means end of stream.
-			n := append([]*relayv1.Summary{}, v.Summaries.Summaries...)
-			s.Endpoints.Summaries(l.stream, l.peer.FailureDomain, l.peer.Address, n)
+		if !l.delivery.do(func() { err = l.process(m) }) {
+			return errStreamEnded
+		}
+		if err != nil {
+			return err
 		}
 	}
 }
 
+// process handles one message of the peer.
+func (l *link) process(m *relayv1.ExchangeMessage) error {
+	s := l.server
+	switch v := m.GetMessage().(type) {
+	case *relayv1.ExchangeMessage_Offset:
+		s.Replica.ObserveLogEnd(v.Offset)
+		putLatest(l.peerOffsets, v.Offset)
+	case *relayv1.ExchangeMessage_Want:
+		putLatest(l.peerWants, v.Want.After)
+	case *relayv1.ExchangeMessage_Record:
+		if err := s.Replica.Apply(v.Record.Offset, v.Record.Body); err != nil {
+			s.Log.Debug().Err(err).Str("peer", l.peer.Instance).Msg("record from peer refused")
+		}
+	case *relayv1.ExchangeMessage_Snapshot:
+		return installSnapshot(s.Replica, v.Snapshot)
+	case *relayv1.ExchangeMessage_Status:
+		// The endpoint may be of another failure domain, which has lost its gateways.
+		if l.isLocal() {
+			s.Endpoints.reportFromPeer(l.stream, v.Status)
+		}
+	case *relayv1.ExchangeMessage_Detached:
+		s.Endpoints.detachFromPeer(l.stream, v.Detached)
+	case *relayv1.ExchangeMessage_Demand:
+		s.Endpoints.Demand(l.stream, l.peer, v.Demand)
+	case *relayv1.ExchangeMessage_Summaries:
+		// A failure domain without endpoints sends an empty list; nil means end of stream.
+		n := append([]*relayv1.Summary{}, v.Summaries.Summaries...)
+		s.Endpoints.Summaries(l.stream, l.peer.FailureDomain, l.peer.Address, n)
+	}
+	return nil
+}
+
 // sendLoop sends this gateway's offset, its endpoints or summaries, and the records that
 // the peer requests.
 func (l *link) sendLoop(ctx context.Context) error {
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -86,6 +86,7 @@
 	w := newWatchdog(stop, streamTimeout)
 	defer w.end()
 	err = runBothDirections(stop, func() error { return a.receive(w) }, func() error { return a.send(ctx) })
+	a.delivery.end()
 	s.Endpoints.Detach(h.Instance, h.BootId)
 	s.Log.Info().Str("instance", h.Instance).AnErr("reason", err).Msg("agent detached")
 	return err
@@ -109,11 +110,40 @@
 	}
 }
 
+// delivery passes on the messages of a stream until it has ended. One that was received
+// before may still be on its way then, and must not bring back state that has been dropped.
+type delivery struct {
+	mu    sync.Mutex
+	ended bool
+}
+
+// do calls f unless the stream has ended, and reports whether it did.
+func (d *delivery) do(f func()) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ended {
+		return false
+	}
+	f()
+	return true
+}
+
+// end waits for a call of f, after which there is none any more.
+func (d *delivery) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ended = true
+}
+
+// errStreamEnded ends the receiving direction of a stream whose sending one has ended.
+var errStreamEnded = status.Error(codes.Canceled, "the stream has ended")
+
 // attachment is the state of one Attach stream.
 type attachment struct {
-	server *Server
-	stream grpc.BidiStreamingServer[relayv1.AttachRequest, relayv1.AttachResponse]
-	hello  *relayv1.Hello
+	server   *Server
+	delivery delivery
+	stream   grpc.BidiStreamingServer[relayv1.AttachRequest, relayv1.AttachResponse]
+	hello    *relayv1.Hello
 	// last is the latest full status, with the values of later keep-alives.
 	last *relayv1.EndpointStatus
 	// sentOffset is the offset of the last record sent.
@@ -141,7 +171,9 @@
 		default:
 			continue
 		}
-		a.server.Endpoints.Report(a.last)
+		if !a.delivery.do(func() { a.server.Endpoints.Report(a.last) }) {
+			return errStreamEnded
+		}
 	}
 }
 
