connector: check the time of a Retry-After header

A float beyond the range of a duration was converted unchecked, which gives different results on amd64 and arm64, and NaN, negative and endless times were taken as they came.

--- a/connector/http.go
+++ b/connector/http.go
@@ -7,12 +7,11 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 )
 
 // maxReplyBytes limits the body of a platform response other than weights.
@@ -63,8 +62,9 @@
 
 func statusError(op string, r *http.Response) error {
 	e := &Error{Op: op, Kind: statusKind(r.StatusCode)}
-	if n, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64); err == nil {
-		e.RetryAfter = time.Duration(n * float64(time.Second))
+	if v := r.Header.Get(header.RetryAfter); v != "" {
+		// A server that sends no usable time is asked again as if it had sent none.
+		e.RetryAfter, _ = ParseRetryAfter(v)
 	}
 	b, _ := io.ReadAll(io.LimitReader(r.Body, 4<<10))
 	var v struct {
