dispatcher: give no requests to endpoints that leave or pause

What a process says in its responses was not read: an endpoint that leaves got requests until the list said so, and one that turned requests away with a time got the next one after 60 ms. A process that has said that it leaves now gets no request for good, also if its entry goes and comes back; one that asks for a pause gets none until its end, and then at a rate that doubles. Queued requests that no endpoint can take any more are refused at once, with the time at which the first one comes back. The state is kept by process beside the list's entries and is asked in isAllowed and isUsable, so that it holds for tiers, grants, cold shares and held requests alike.

With isPaused off: the pause script, and "got acquire: waited, want paused with 3s". Without the limit after a pause: "e1:3" in place of "e1:1 refused-full:2". Without refuseUnavailable: "got acquire: waited". Without the agent's report: e1 gets a request.

--- /dev/null
+++ b/dispatcher/availability.go
@@ -0,0 +1,250 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
+	"github.com/eelgrassdrift/eelgrassdrift/observer"
+)
+
+// An endpoint's process says in its responses that it leaves, or that it wants no requests
+// for some time. The endpoint list may not say so for long after, so the dispatcher keeps
+// what a process said apart from the list's entries: an entry that is deleted and written
+// again doesn't bring a leaving process back. Only a newer process ends it.
+
+const (
+	// resumeTime is the time after a pause in which an endpoint gets requests at a limited
+	// rate, as those that waited for it would otherwise be sent at once. The number of
+	// requests sent since the pause doubles with each resumeStep.
+	resumeTime = time.Second
+	resumeStep = 100 * time.Millisecond
+	// availabilityRetention is how long a process is remembered that the list lacks. It
+	// exceeds the time for which the platform may be away.
+	availabilityRetention = 10 * time.Minute
+	// noticeInterval is the shortest time between two calls of Dispatcher.Noticed for the
+	// pauses of one process.
+	noticeInterval = time.Second
+)
+
+// Notice is what an endpoint says in a response about the requests that it wants.
+type Notice struct {
+	// Leaving reports whether the endpoint is about to end.
+	Leaving bool
+	// Pause is how long the endpoint wants no requests from this gateway; 0 for none.
+	Pause time.Duration
+}
+
+// NoticeSource is the way in which a gateway learned of a notice.
+type NoticeSource string
+
+// The sources.
+const (
+	// FromResponse is a response to a request of this gateway.
+	FromResponse NoticeSource = "response"
+	// FromReport is a load report of the endpoint's agent.
+	FromReport NoticeSource = "report"
+)
+
+// process identifies a process of an endpoint.
+type process struct {
+	id      string
+	started int64
+}
+
+func processOf(e *observer.Endpoint) process { return process{e.ID, e.Started.UnixMilli()} }
+
+// availability is what one process has said. The dispatcher's lock guards it.
+type availability struct {
+	leaving bool
+	// pausedUntil is the end of the last pause; the zero time if there was none.
+	pausedUntil time.Time
+	// resumed is the number of requests sent since pausedUntil, up to resumeTime.
+	resumed int
+	// heardAt is when the process was last heard or listed, and noticedAt when Noticed was
+	// last called for a pause.
+	heardAt, noticedAt time.Time
+}
+
+// isLeaving reports whether the endpoint's process has said that it leaves.
+func (n *node) isLeaving() bool { return n.availability != nil && n.availability.leaving }
+
+// isPaused reports whether the endpoint wants no requests from this gateway.
+func (n *node) isPaused(now time.Time) bool { return n.pauseEnd(now).After(now) }
+
+// pauseEnd returns the end of the endpoint's pause, or now if it isn't paused.
+func (n *node) pauseEnd(now time.Time) time.Time {
+	if n.availability == nil || !n.availability.pausedUntil.After(now) {
+		return now
+	}
+	return n.availability.pausedUntil
+}
+
+// isResuming reports whether the endpoint's last pause ended within resumeTime.
+func (n *node) isResuming(now time.Time) bool {
+	return n.availability != nil && !n.isPaused(now) && now.Sub(n.availability.pausedUntil) < resumeTime
+}
+
+// isResumeLimited reports whether the endpoint has got as many requests since its pause as
+// it may by now.
+func (n *node) isResumeLimited(now time.Time) bool {
+	if !n.isResuming(now) {
+		return false
+	}
+	steps := int(now.Sub(n.availability.pausedUntil) / resumeStep)
+	return n.availability.resumed >= 1<<steps
+}
+
+// Notice records what the endpoint of the lease said in a response.
+func (d *Dispatcher) Notice(l *Lease, v Notice) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.note(l.pool, l.node, v, FromResponse)
+}
+
+// note records a notice of the node's process and refuses the queued requests that can't
+// be served any more. The caller must hold d.mu.
+func (d *Dispatcher) note(p *pool, n *node, v Notice, from NoticeSource) {
+	now := d.now()
+	a := d.availabilityOf(p, n)
+	a.heardAt = now
+	turned := v.Leaving && !a.leaving
+	a.leaving = a.leaving || v.Leaving
+	if until := now.Add(v.Pause); v.Pause > 0 && until.After(a.pausedUntil) {
+		turned = turned || now.Sub(a.noticedAt) >= noticeInterval
+		a.pausedUntil, a.resumed = until, 0
+	}
+	if !turned {
+		return
+	}
+	a.noticedAt = now
+	if d.Noticed != nil {
+		d.Noticed(n.Endpoint, v, from)
+	}
+	d.refuseUnavailable(p, now)
+}
+
+// availabilityOf returns the availability of the node's process, which may have left the
+// list since the node was chosen.
+func (d *Dispatcher) availabilityOf(p *pool, n *node) *availability {
+	k := processOf(&n.Endpoint)
+	a := d.availability[k]
+	if a == nil {
+		if d.availability == nil {
+			d.availability = make(map[process]*availability)
+		}
+		a = &availability{}
+		d.availability[k] = a
+	}
+	n.availability = a
+	if listed := p.nodes[n.ID]; listed != nil && processOf(&listed.Endpoint) == k {
+		listed.availability = a
+	}
+	return a
+}
+
+// updateAvailability sets what the processes of the pool's endpoints have said.
+func (d *Dispatcher) updateAvailability(p *pool, now time.Time) {
+	if len(d.availability) == 0 {
+		return
+	}
+	for _, n := range p.nodes {
+		if n.availability = d.availability[processOf(&n.Endpoint)]; n.availability != nil {
+			n.availability.heardAt = now
+		}
+	}
+}
+
+// forgetAvailability drops the processes that the list has lacked for long.
+func (d *Dispatcher) forgetAvailability(now time.Time) {
+	for k, a := range d.availability {
+		if now.Sub(a.heardAt) > availabilityRetention {
+			delete(d.availability, k)
+		}
+	}
+}
+
+// Available returns the error with which Acquire refuses the request at once because all
+// endpoints that may serve it leave or are paused, or nil. The error is of type *Error.
+func (d *Dispatcher) Available(r Request) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pools[r.Service]
+	if p == nil {
+		return refuse(classifier.Unavailable, "no-endpoint", noEndpointRetryAfter)
+	}
+	return d.checkAvailable(p, r, d.now())
+}
+
+// checkAvailable returns an error if no endpoint may serve the request before it is
+// refused, and none is about to load its weights.
+func (d *Dispatcher) checkAvailable(p *pool, r Request, now time.Time) error {
+	loading, allowed := false, false
+	var back time.Time
+	for _, n := range p.nodes {
+		if !d.isAllowed(p, n, r, now) {
+			loading = loading || p.model != "" && n.isLoading(r, now)
+			continue
+		}
+		if end := n.pauseEnd(now); !allowed || end.Before(back) {
+			allowed, back = true, end
+		}
+	}
+	switch {
+	case !allowed && !loading:
+		return refuse(classifier.Unavailable, "no-endpoint", noEndpointRetryAfter)
+	case allowed && back.After(now) && back.After(r.Until):
+		return refuse(classifier.Unavailable, "paused", back.Sub(now))
+	}
+	return nil
+}
+
+// refuseUnavailable refuses the queued requests for which checkAvailable returns an error.
+// It checks requests with the same constraints once.
+func (d *Dispatcher) refuseUnavailable(p *pool, now time.Time) {
+	if p.isAnyAvailable(now) {
+		return
+	}
+	type key struct {
+		constraints
+		until time.Time
+	}
+	known := make(map[key]error)
+	for _, q := range []*[]*waiter{&p.fresh, &p.retried} {
+		kept := (*q)[:0]
+		for _, w := range *q {
+			k := key{w.request.constraints(), w.request.Until}
+			err, ok := known[k]
+			if !ok || len(w.request.Exclude) > 0 {
+				err = d.checkAvailable(p, w.request, now)
+			}
+			if len(w.request.Exclude) == 0 {
+				known[k] = err
+			}
+			if err == nil {
+				kept = append(kept, w)
+				continue
+			}
+			w.granted <- grant{err: err}
+		}
+		clear((*q)[len(kept):])
+		*q = kept
+	}
+}
+
+// isAnyAvailable reports whether any endpoint of the pool neither leaves nor is paused.
+func (p *pool) isAnyAvailable(now time.Time) bool {
+	for _, n := range p.nodes {
+		if !n.Draining && !n.isLeaving() && !n.isPaused(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// IsRevoked reports whether the endpoint has said since the lease was given that it leaves
+// or wants no requests, so that the request must not be sent.
+func (l *Lease) IsRevoked() bool {
+	l.d.mu.Lock()
+	defer l.d.mu.Unlock()
+	return l.node.isLeaving() || l.node.isPaused(l.d.now())
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -36,6 +36,9 @@
 	// Outdated is called, with a lock held, when an agent reports a process that the
 	// endpoint list lacks; it may be nil and must not block.
 	Outdated func()
+	// Noticed is called, with a lock held, when an endpoint says that it leaves or pauses; it
+	// may be nil and must not block.
+	Noticed func(e observer.Endpoint, v Notice, from NoticeSource)
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
 
@@ -51,6 +54,9 @@
 	// listed reports whether an endpoint list has been applied. Endpoints of the
 	// first list aren't taken for newly started.
 	listed bool
+	// availability holds what processes of endpoints have said about the requests that they
+	// want. It alone decides that, beside the endpoint list.
+	availability map[process]*availability
 }
 
 // Request describes a request that needs an endpoint.
@@ -113,12 +119,14 @@
 	d.gatewayList = gateways
 	d.gateways = max(len(names), 1)
 	d.addPools(t, list)
+	now := d.now()
 	for _, p := range d.pools {
 		s := t.Service(p.service)
 		if s != nil {
 			d.updatePool(p, s)
 		}
 		d.updateNodes(p, s, list, evacuated)
+		d.updateAvailability(p, now)
 		for _, n := range p.nodes {
 			n.newestStart = starts[n.Address]
 		}
@@ -127,6 +135,7 @@
 		d.grant(p)
 	}
 	d.listed = true
+	d.forgetAvailability(now)
 }
 
 // addPools creates the missing pools of configured services that have endpoints.
@@ -199,6 +208,9 @@
 		if r.Versions[p.model] != n.report.Versions[p.model] {
 			n.begins.forget()
 		}
+		if r.Leaving {
+			d.note(p, n, Notice{Leaving: true}, FromReport)
+		}
 		n.report, n.reportedAt, n.inFlightAtReport = r, d.now(), n.inFlight
 		d.grant(p)
 	}
@@ -246,7 +258,7 @@
 		}
 		r = r.late()
 	}
-	w := &waiter{pool: p, request: r, rank: r.rank(), since: now, granted: make(chan *Lease, 1)}
+	w := &waiter{pool: p, request: r, rank: r.rank(), since: now, granted: make(chan grant, 1)}
 	p.enqueue(w)
 	return nil, w, nil
 }
@@ -260,6 +272,7 @@
 	Service                         string
 	Endpoints, InFlight, Queued     int
 	Loaded, Cold, Draining, Avoided int
+	Leaving, Paused                 int
 }
 
 // Status returns the counts of all services.
@@ -274,6 +287,8 @@
 			s.InFlight += n.inFlight
 			s.Draining += boolToInt(n.Draining)
 			s.Cold += boolToInt(now.Before(n.coldUntil))
+			s.Leaving += boolToInt(n.isLeaving())
+			s.Paused += boolToInt(n.isPaused(now))
 			s.Avoided += boolToInt(now.Before(n.avoidUntil) || n.isSuspect(now))
 			s.Loaded += boolToInt(p.model == "" || n.version(p.model, now) >= max(1, p.target.Version))
 		}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -119,6 +119,8 @@
 		w.now = w.now.Add(d)
 	case "report":
 		w.report(f)
+	case "notice":
+		w.notice(f)
 	case "send":
 		return w.send(f)
 	case "begun":
@@ -132,7 +134,7 @@
 	return ""
 }
 
-// report ID VERSION LOAD [closed] [queued=N] [started=N]
+// report ID VERSION LOAD [closed] [leaving] [queued=N] [started=N]
 func (w *harness) report(f []string) {
 	port, _ := strconv.Atoi(f[1][1:])
 	v, _ := strconv.ParseInt(f[2], 10, 64)
@@ -150,10 +152,19 @@
 	}
 	w.d.Report(dispatcher.Report{
 		Started: started, Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(port)),
-		Versions: map[string]int64{"m": v}, Load: load, Queued: queued, Closed: slices.Contains(f, "closed"),
+		Versions: map[string]int64{"m": v}, Load: load, Queued: queued, Closed: slices.Contains(f, "closed"), Leaving: slices.Contains(f, "leaving"),
 	})
 }
 
+// notice ID [leaving] [pause=DURATION] is a response to the first lease of an endpoint.
+func (w *harness) notice(f []string) {
+	n := dispatcher.Notice{Leaving: slices.Contains(f, "leaving")}
+	if v, ok := strings.CutPrefix(f[len(f)-1], "pause="); ok {
+		n.Pause, _ = time.ParseDuration(v)
+	}
+	w.d.Notice(w.leases[f[1]][0], n)
+}
+
 // send N [home=REGION] [prompt=N] [not=ID] [resumed] [late] sends requests that don't wait, and
 // counts where they went.
 func (w *harness) send(f []string) string {
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -66,6 +66,6 @@
 // isLoading reports whether the endpoint could serve the request if it had the weights, and
 // its instance reports, so that it is about to get them.
 func (n *node) isLoading(r Request, now time.Time) bool {
-	return !n.Draining && !n.isReplaced() && r.Match.Allows(n.Region) && !slices.Contains(r.Exclude, n.ID) &&
+	return !n.Draining && !n.isLeaving() && !n.isReplaced() && r.Match.Allows(n.Region) && !slices.Contains(r.Exclude, n.ID) &&
 		now.Sub(n.reportedAt) <= reportMaxAge
 }
--- a/dispatcher/lease.go
+++ b/dispatcher/lease.go
@@ -68,6 +68,9 @@
 	case !r.Resumed:
 		p.freshSinceRetried++
 	}
+	if n.isResuming(now) {
+		n.availability.resumed++
+	}
 	if !now.After(n.coldUntil) {
 		n.coldSent = append(n.coldSent, now)
 	}
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -53,6 +53,8 @@
 	Load int `json:"load"`
 	// Queued is the number of these that the endpoint hasn't begun.
 	Queued int `json:"queued,omitempty"`
+	// Leaving is set once the endpoint has said that it is about to end.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // node is an endpoint as this gateway sees it. The dispatcher's lock guards it.
@@ -68,6 +70,8 @@
 	inFlightAtReport int
 
 	begins beginDelays
+	// availability is nil unless the endpoint's process has said that it leaves or pauses.
+	availability *availability
 
 	// preferred reports whether this gateway is a sharer of the endpoint; ranked, whether
 	// that has been determined.
--- a/dispatcher/pick.go
+++ b/dispatcher/pick.go
@@ -35,10 +35,10 @@
 )
 
 // isAllowed reports whether the request may go to the endpoint, regardless of load:
-// the endpoint is not draining, replaced or excluded, its region is allowed, and it serves
+// the endpoint is not draining, leaving, replaced or excluded, its region is allowed, and it serves
 // a version that may be used when the request begins.
 func (d *Dispatcher) isAllowed(p *pool, n *node, r Request, now time.Time) bool {
-	if n.Draining || n.isReplaced() || !r.Match.Allows(n.Region) || slices.Contains(r.Exclude, n.ID) {
+	if n.Draining || n.isLeaving() || n.isReplaced() || !r.Match.Allows(n.Region) || slices.Contains(r.Exclude, n.ID) {
 		return false
 	}
 	if p.model == "" {
@@ -51,7 +51,7 @@
 // isUsable reports whether the endpoint may get the request as soon as it has
 // capacity.
 func (d *Dispatcher) isUsable(p *pool, n *node, r Request, now time.Time) bool {
-	return d.isAllowed(p, n, r, now) && !n.isClosed(now) && !now.Before(n.avoidUntil) && d.beginsInTime(p, n, now)
+	return d.isAllowed(p, n, r, now) && !n.isPaused(now) && !n.isClosed(now) && !now.Before(n.avoidUntil) && d.beginsInTime(p, n, now)
 }
 
 // beginsInTime reports whether a request that is sent to the endpoint now surely begins
@@ -132,7 +132,7 @@
 // hasCapacity reports whether the endpoint has a free slot for the request and,
 // unless the request resumes a stream, few enough prompts pending.
 func (d *Dispatcher) hasCapacity(p *pool, n *node, r Request, now time.Time) bool {
-	if n.load(now, d.gateways) >= p.limit(n, r, now) || n.isColdLimited(now) {
+	if n.load(now, d.gateways) >= p.limit(n, r, now) || n.isColdLimited(now) || n.isResumeLimited(now) {
 		return false
 	}
 	return r.Resumed || n.prefill == 0 || n.prefill+p.prefillTime(r) <= d.prefillLimit(n, r)
--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -44,7 +44,13 @@
 	request Request
 	rank    int
 	since   time.Time
-	granted chan *Lease
+	granted chan grant
+}
+
+// grant is the end of a wait: a lease, or the error with which the request is refused.
+type grant struct {
+	lease *Lease
+	err   error
 }
 
 // pool holds the endpoints of one service and the requests that wait for them.
@@ -175,6 +181,9 @@
 // checkWait returns an error if no endpoint may serve the request, the queue is full
 // or the request can't be served in time.
 func (d *Dispatcher) checkWait(p *pool, r Request, now time.Time) error {
+	if err := d.checkAvailable(p, r, now); err != nil {
+		return err
+	}
 	usable, soon := 0, false
 	for _, n := range p.nodes {
 		if d.isUsable(p, n, r, now) {
@@ -202,11 +211,11 @@
 	defer t.Stop()
 	for {
 		select {
-		case l := <-w.granted:
-			return l, nil
+		case g := <-w.granted:
+			return g.lease, g.err
 		case <-t.C:
-			if l := d.cancelWait(w); l != nil {
-				return l, nil
+			if g, ok := d.cancelWait(w); ok {
+				return g.lease, g.err
 			}
 			wait, err := d.requeueLate(w)
 			if err != nil {
@@ -214,8 +223,8 @@
 			}
 			t.Reset(wait)
 		case <-ctx.Done():
-			if l := d.cancelWait(w); l != nil {
-				l.Done(Canceled)
+			if g, ok := d.cancelWait(w); ok && g.lease != nil {
+				g.lease.Done(Canceled)
 			}
 			return nil, &Error{Op: "acquire", Kind: classifier.Timeout, Reason: "caller-left", Err: ctx.Err()}
 		}
@@ -237,13 +246,13 @@
 	return w.request.Until.Sub(now), nil
 }
 
-// cancelWait removes the waiter from the queue, or returns the lease that it has been
-// granted in the meantime.
-func (d *Dispatcher) cancelWait(w *waiter) *Lease {
+// cancelWait removes the waiter from the queue, or returns the end of its wait if that has
+// come in the meantime.
+func (d *Dispatcher) cancelWait(w *waiter) (g grant, ended bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if w.pool.remove(w) {
-		return nil
+		return grant{}, false
 	}
-	return <-w.granted
+	return <-w.granted, true
 }
