--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -154,6 +154,7 @@
 	a.follower = newFollower(a.Platform, a.Store, a.Peers, a.Domain, a.Regions, a.Log)
 	a.follower.seeds = a.Seeds
 	a.monitor.Limit = maxAgentBeatInterval
+	a.monitor.Beat()
 	a.follower.earliest = a.monitor.Earliest
 	a.origin = newOriginClient()
 	a.chunks = &distributor.Store{}
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -150,6 +150,7 @@
 	g.follower = newFollower(g.Platform, g.Store, g.Peers, g.Domain, g.Regions, g.Log)
 	g.follower.drain, g.follower.seeds = g.Drain, g.Seeds
 	g.monitor.Limit = maxBeatInterval
+	g.monitor.Beat()
 	g.follower.earliest = g.monitor.Earliest
 	g.dispatcher = &dispatcher.Dispatcher{
 		Name: g.Name, Domain: g.Domain, Region: g.Region, Cold: g.Cold, State: g.follower.state,
