observer: date records from another process as it does

Cause: a Follower whose table was confirmed less than 0.3 s before a read dated the result by its arrival, also if a reader of the failure domain or a gateway had sent it, which may itself have learned of the record late.

Change: only a result of the platform counts as written when it arrives. One from another process has the date that is sent with it, and that of the last confirmation if none is known. Agents read from gateways in the same way.

Evidence: TestDateFromLateReader said before the change "dated 57.584µs ago, want 200ms to 500ms" and "dated 19.832µs ago, want 600ms to 900ms".

--- a/observer/follower.go
+++ b/observer/follower.go
@@ -180,29 +180,39 @@
 }
 
 // apply merges the result of a read that began at the given time into the table.
-//
-// A source sends a new item at once to a reader that waits for it. If the table was up
-// to date when the read began, the items were therefore written when the response
-// arrived. Otherwise they may have been written at any time since the table was last
-// confirmed, for example before a late read. The time of an outage of the first source
-// doesn't count, because a permission of the operators starts anew after it.
 func (f *Follower) apply(c connector.Changes, first bool, began time.Time) {
 	arrived := f.noticed(began)
-	u := Update{First: first, After: f.Table.Confirmed()}
-	isCurrent := first && began.Sub(u.After) < maxConfirmedAge
-	switch {
-	case u.After.IsZero():
-	case isCurrent || f.Earliest == nil:
-		u.After = arrived
-	case c.Written > 0 && arrived.Add(-c.Written).After(u.After):
-		u.After = arrived.Add(-c.Written)
-	case f.lastFailure.After(u.After):
-		u.After = f.lastFailure
-	}
+	u := Update{First: first, After: f.date(c, first, began, arrived)}
 	u.Fresh = f.Table.apply(c, arrived, u.After)
 	f.Changed(u)
 }
 
+// date returns a time before which none of the items of a result was written.
+//
+// The platform sends a new item at once to a reader that waits for it. If the table was
+// up to date when the read began, the items were therefore written when the response
+// arrived. Otherwise they may have been written at any time since the table was last
+// confirmed, for example before a late read. The same holds for items from another
+// process, which may have been late itself, unless it knows their date. The time of an
+// outage of the first source doesn't count, because a permission of the operators starts
+// anew after it.
+func (f *Follower) date(c connector.Changes, first bool, began, arrived time.Time) time.Time {
+	confirmed := f.Table.Confirmed()
+	fromPlatform := c.Age == 0 && c.Written == 0
+	isCurrent := first && fromPlatform && began.Sub(confirmed) < maxConfirmedAge
+	switch written := arrived.Add(-c.Written); {
+	case confirmed.IsZero():
+		return time.Time{}
+	case isCurrent || f.Earliest == nil:
+		return arrived
+	case c.Written > 0 && written.After(confirmed):
+		return written
+	case f.lastFailure.After(confirmed):
+		return f.lastFailure
+	}
+	return confirmed
+}
+
 // noticed returns the earliest time of an event that the process began to wait for at
 // the given time and notices now.
 func (f *Follower) noticed(began time.Time) time.Time {
--- a/observer/shared_test.go
+++ b/observer/shared_test.go
@@ -108,6 +108,39 @@
 	}
 }
 
+// A gateway whose table is up to date must date a version as its reader did, or not after its
+// last confirmation if the reader doesn't know: a reader that had been paused sent versions
+// late, and they were dated by their arrival.
+func TestDateFromLateReader(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		written   time.Duration
+		low, high time.Duration
+	}{
+		{"known date", 200 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond},
+		{"unknown date", 0, 600 * time.Millisecond, 900 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			reads := 0
+			f := &observer.Follower{
+				Sources: []observer.Source{{Name: "platform", Read: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
+					if reads++; reads > 1 {
+						time.Sleep(600 * time.Millisecond)
+					}
+					n := items(uint64(reads))
+					n.Age, n.Written = time.Millisecond, c.written
+					return n, nil
+				}}},
+				Earliest: func(time.Time) time.Time { return timekeeper.Now() },
+			}
+			u := readSecond(t, f)
+			if d := timekeeper.Now().Sub(u.After); d < c.low || d > c.high {
+				t.Errorf("dated %s ago, want %s to %s", d, c.low, c.high)
+			}
+		})
+	}
+}
+
 // A gateway that reads a version from a reader must date it as the reader did, also when
 // the reader learned of it late.
 func TestDateFromReader(t *testing.T) {
