observer: date no record by a platform asked late

Cause: a gateway in a large failure domain waits up to 0.8 s for a reader that is frozen, 0.3 s for one that failed before, and asks the platform then. The Follower took the beginning of the whole read for the time at which the platform was asked, so a version that was named meanwhile counted as written when the platform responded.

Callers saw: requests on an older version up to 0.8 s longer than allowed for.

Change: SharedReader tells the delay, and the Follower measures from there whether its table is up to date. If not, the date is the last confirmation.

Evidence: TestDateAfterFrozenReader said before "dated 31.811µs ago, want the 800 ms of the failed read".

--- a/connector/table.go
+++ b/connector/table.go
@@ -28,6 +28,9 @@
 	Age time.Duration `json:"age,omitempty"`
 	// Written is a time within which all Items were written; 0 if it isn't known.
 	Written time.Duration `json:"written,omitempty"`
+	// Delay is the time between the beginning of the read and the request to the source
+	// of this result, in which other sources failed.
+	Delay time.Duration `json:"-"`
 }
 
 // Table is a topic of the platform's log that keeps the newest record of each key.
--- a/observer/follower.go
+++ b/observer/follower.go
@@ -199,7 +199,7 @@
 func (f *Follower) date(c connector.Changes, first bool, began, arrived time.Time) time.Time {
 	confirmed := f.Table.Confirmed()
 	fromPlatform := c.Age == 0 && c.Written == 0
-	isCurrent := first && fromPlatform && began.Sub(confirmed) < maxConfirmedAge
+	isCurrent := first && fromPlatform && began.Add(c.Delay).Sub(confirmed) < maxConfirmedAge
 	switch written := arrived.Add(-c.Written); {
 	case confirmed.IsZero():
 		return time.Time{}
--- a/observer/shared.go
+++ b/observer/shared.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 )
 
 const (
@@ -76,12 +77,15 @@
 	if from == 0 || s.IsReader() {
 		return s.Platform(ctx, from, platformWait)
 	}
+	began := timekeeper.Now()
 	c, err := s.readFromReader(ctx, from, min(wait, readerWait))
 	if err == nil {
 		s.lastFromReader = true
 		return c, nil
 	}
+	delay := timekeeper.Now().Sub(began)
 	c, platformErr := s.Platform(ctx, from, platformWait)
+	c.Delay = delay
 	if platformErr != nil {
 		return c, errors.CombineErrors(platformErr, err)
 	}
--- a/observer/shared_test.go
+++ b/observer/shared_test.go
@@ -141,6 +141,31 @@
 	}
 }
 
+// A version that was named while a gateway waited for a frozen reader must not be dated by the
+// response of the platform, which was asked only after that.
+func TestDateAfterFrozenReader(t *testing.T) {
+	reads := 0
+	r := &observer.SharedReader{
+		IsShared: func() bool { return true }, IsReader: func() bool { return false },
+		Platform: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
+			reads++
+			return items(uint64(reads)), nil
+		},
+		Readers: func(ctx context.Context, _ uint64, _ time.Duration) (connector.Changes, error) {
+			<-ctx.Done()
+			return connector.Changes{}, ctx.Err()
+		},
+	}
+	f := &observer.Follower{
+		Sources: []observer.Source{{Name: "platform", Read: r.Read}}, WaitFunc: r.MaxWait, PaceFunc: r.Pace,
+		Earliest: func(time.Time) time.Time { return timekeeper.Now() },
+	}
+	u := readSecond(t, f)
+	if d := timekeeper.Now().Sub(u.After); d < 800*time.Millisecond {
+		t.Errorf("dated %s ago, want the 800 ms of the failed read", d)
+	}
+}
+
 // A gateway that reads a version from a reader must date it as the reader did, also when
 // the reader learned of it late.
 func TestDateFromReader(t *testing.T) {
