forwarder: join only events that follow the caller's last one

Cause: a resumed stream was joined to what the caller had without a look at its ids. An endpoint that ignored Last-Event-Id and started again, repeated the last event, or put an error text without an id into a stream of status 200 was passed on.

Change: on routes whose streams may be resumed, an event must have a greater id than the last one (another one if the ids aren't numbers), and the first event of a resumed stream must have an id. Otherwise the attempt ends as a broken stream: the next endpoint goes on, or the caller's stream breaks off.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -222,8 +222,9 @@
 // discarded, so that the stream can be resumed after the previous one.
 func (a *attempt) copyEvents() attemptResult {
 	var event bytes.Buffer
+	var fields eventFields
+	order := a.call.streamOrder()
 	lines := bufio.NewReaderSize(a.response.Body, bufferSize)
-	id, hasData := "", false
 	// The next event with data is due at this time. Parts of an event and comments don't
 	// extend it, or a stalled endpoint could hold a stream until its deadline.
 	due := time.Now().Add(a.call.eventTimeout())
@@ -243,23 +244,23 @@
 		case err != nil:
 			return unknownOutcome("read event", errors.Wrapf(err, "after event %q", a.call.lastEvent))
 		}
-		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(v))
-		}
-		hasData = hasData || bytes.HasPrefix(line, []byte("data:"))
 		if len(line) > 0 {
+			fields.add(line)
 			continue
 		}
+		if err := order.check(fields); err != nil {
+			return unknownOutcome("read event", errors.Wrapf(err, "after event %q", a.call.lastEvent))
+		}
 		if err := a.call.writeEvent(a.response, event.Bytes()); err != nil {
 			return a.lostCaller(err)
 		}
-		if id != "" {
-			a.call.lastEvent = id
+		if fields.id != "" {
+			a.call.lastEvent = fields.id
 		}
-		if hasData {
+		if fields.hasData {
 			due = time.Now().Add(a.call.eventTimeout())
 		}
-		hasData = false
+		fields = eventFields{}
 		event.Reset()
 	}
 }
--- a/forwarder/handler_test.go
+++ b/forwarder/handler_test.go
@@ -177,11 +177,34 @@
 		return false
 	case "stream", "cut", "cut-inside", "silent", "pause", "trickle", "comments":
 		return b.stream(c, q, head, name, n)
+	case "events":
+		out = head("200 OK", id, fmt.Sprintf("Content-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n", len(events(argument))))
+		out += events(argument)
+	case "events-cut":
+		out = head("200 OK", id, "Content-Type: text/event-stream\r\nContent-Length: 999\r\n\r\n") + events(argument)
+		keep = false
 	}
 	_, _ = io.WriteString(c, out)
 	return keep
 }
 
+// events returns an event for each word: "7" has this id and data, "-" data and no id, "text"
+// neither.
+func events(words string) string {
+	var b strings.Builder
+	for w := range strings.FieldsSeq(words) {
+		switch w {
+		case "-":
+			b.WriteString("data: error\n\n")
+		case "text":
+			b.WriteString("HTTP/1.1 500 Broken\n\n")
+		default:
+			fmt.Fprintf(&b, "id: %s\ndata: e%s\n\n", w, w)
+		}
+	}
+	return b.String()
+}
+
 // stream writes n events after the one from which the stream resumes; for the step
 // "pause" it writes two events, n milliseconds apart.
 func (b *fakeEndpoint) stream(c net.Conn, q *http.Request, head func(string, string, string) string, name string, n int) bool {
