forwarder: take no empty resumed stream as the end

Cause: a stream had broken off; the next endpoint answered 200 with a stream of no event, and the caller's stream ended as if it were complete. Nothing in such an answer shows that the caller has the last event (ORDER).

Change: a resumed stream ends the caller's only if at least one event followed. Otherwise the next endpoint is tried, or the stream breaks off; the caller may resume it itself. A first answer without events is passed on unchanged. The price: a stream that is cut between its last event and its end breaks off, though the caller has all events.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -240,7 +240,7 @@
 		line, err := readLine(lines, &event)
 		switch {
 		case errors.Is(err, io.EOF) && event.Len() == 0:
-			return a.finishStream()
+			return a.finishStream(order)
 		case err != nil:
 			return unknownOutcome("read event", errors.Wrapf(err, "after event %q", a.call.lastEvent))
 		}
@@ -288,8 +288,12 @@
 	}
 }
 
-// finishStream completes the caller's stream after the endpoint has ended its own.
-func (a *attempt) finishStream() attemptResult {
+// finishStream completes the caller's stream after the endpoint has ended its own. A resumed
+// stream without events doesn't prove that the caller has all of them.
+func (a *attempt) finishStream(order *streamOrder) attemptResult {
+	if !order.continues {
+		return unknownOutcome("read event", errors.Newf("resumed stream has no event after %q", a.call.lastEvent))
+	}
 	if err := a.call.endStream(a.response); err != nil {
 		return a.lostCaller(err)
 	}
--- a/forwarder/order.go
+++ b/forwarder/order.go
@@ -35,8 +35,8 @@
 // streamOrder checks that the events of one attempt go on after those that the caller has.
 type streamOrder struct {
 	call *call
-	// continues reports whether the attempt may add events without ids: it is the first
-	// one, or an event of it has followed the caller's last one.
+	// continues reports whether the attempt may end the stream and add events without ids:
+	// it is the first one, or an event of it has followed the caller's last one.
 	continues bool
 }
 
