dispatcher: ignore starts in the future

Cause: of several entries at one address the one that started last counts as the running process, however late its start. An entry of another writer with a start in the future, at the address of a sound endpoint, therefore took that endpoint out for as long as the entry was listed. Seen by callers: 503 (no-endpoint) if no other endpoint is left, else the load of that endpoint on the others. Evidence: with the script alone, 'send 1 not=e2' gave refused-no-endpoint:1 for a start 61 s ahead. Change: starts more than a minute ahead of this clock replace nothing. Result: the script passes; a start within the minute still replaces.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -108,7 +108,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.gatewayNames = names
-	starts := newestStarts(list)
+	starts := newestStarts(list, d.now())
 	rank := !slices.Equal(gateways, d.gatewayList)
 	d.gatewayList = gateways
 	d.gateways = max(len(names), 1)
--- a/dispatcher/outdated.go
+++ b/dispatcher/outdated.go
@@ -11,11 +11,17 @@
 // they expire some seconds later. A request that is sent to such an entry is refused by the
 // process that runs at the address now, and uses up an attempt and the retry budget.
 
-// newestStarts returns the latest start of any process at each address of the list.
-func newestStarts(list map[string]*observer.Endpoint) map[netip.AddrPort]time.Time {
+// maxClockDifference is the difference between the clocks of two machines up to which the
+// start of a process is taken for true.
+const maxClockDifference = time.Minute
+
+// newestStarts returns the latest start of any process at each address of the list. It
+// skips starts in the future: an entry with one would replace a process that runs.
+func newestStarts(list map[string]*observer.Endpoint, now time.Time) map[netip.AddrPort]time.Time {
+	latest := now.Add(maxClockDifference)
 	m := make(map[netip.AddrPort]time.Time, len(list))
 	for _, e := range list {
-		if e.Started.After(m[e.Address]) {
+		if e.Started.After(m[e.Address]) && !e.Started.After(latest) {
 			m[e.Address] = e.Started
 		}
 	}
