dispatcher: let reports prove a process that an entry replaces

Cause: of several entries at one address all but the one that started last counted as gone, and that one got the reports of the address. Seen by callers: an entry of another writer with the address of a sound endpoint and a later start took that endpoint out while it was listed, though its agent went on reporting it. Change: a report goes to the endpoint whose start it names, and an endpoint that has reported since the newer entry was listed counts as running. A report from an unlisted process goes where it went, and only that one asks for a new list.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -120,7 +120,7 @@
 		}
 		d.updateNodes(p, s, list, evacuated)
 		for _, n := range p.nodes {
-			n.newestStart = starts[n.Address]
+			n.setNewestStart(starts[n.Address])
 		}
 		d.updateSharers(p, rank)
 		d.updateCold(p)
@@ -160,7 +160,7 @@
 			delete(p.nodes, id)
 		}
 	}
-	p.byAddress = make(map[netip.AddrPort]*node, len(p.nodes))
+	p.byAddress = make(map[netip.AddrPort][]*node, len(p.nodes))
 	for id, e := range list {
 		if e.Service != p.service {
 			continue
@@ -177,7 +177,7 @@
 			n.extendCold(now.Add(e.Cold))
 		}
 		n.Endpoint = *e
-		p.addAddress(n)
+		p.byAddress[n.Address] = append(p.byAddress[n.Address], n)
 		n.Draining = e.Draining || evacuated[e.Domain]
 	}
 }
@@ -188,18 +188,22 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range d.pools {
-		n := p.byAddress[r.Address]
-		if n == nil {
+		nodes := p.byAddress[r.Address]
+		if len(nodes) == 0 {
 			continue
 		}
-		if !r.Started.IsZero() && !n.Started.IsZero() && !n.Started.Equal(r.Started) {
-			d.noteStart(n, r)
-			continue
-		}
-		if r.Versions[p.model] != n.report.Versions[p.model] {
-			n.begins.forget()
+		listed := isListed(nodes, r)
+		for _, n := range nodes {
+			if !n.isReporter(r, listed) {
+				d.noteStart(n, r, listed)
+				continue
+			}
+			if r.Versions[p.model] != n.report.Versions[p.model] {
+				n.begins.forget()
+			}
+			n.report, n.reportedAt, n.inFlightAtReport = r, d.now(), n.inFlight
+			n.confirmed = n.Started.Equal(r.Started)
 		}
-		n.report, n.reportedAt, n.inFlightAtReport = r, d.now(), n.inFlight
 		d.grant(p)
 	}
 }
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -76,6 +76,8 @@
 	// newestStart is the latest start of any process at the address by the list, and
 	// reportedStart the start of a process that the list lacks, by a report.
 	newestStart, reportedStart time.Time
+	// confirmed reports whether the endpoint's process has reported since newestStart.
+	confirmed bool
 
 	// prefill is the estimated time that the engine takes to process those prompts of
 	// this gateway that it hasn't finished yet.
--- a/dispatcher/outdated.go
+++ b/dispatcher/outdated.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
@@ -28,20 +29,39 @@
 	return m
 }
 
+// setNewestStart sets the latest start of any process at the address by the list.
+func (n *node) setNewestStart(t time.Time) {
+	if !t.Equal(n.newestStart) {
+		n.newestStart, n.confirmed = t, false
+	}
+}
+
 // isReplaced reports whether another process runs at the address of the endpoint: a newer
-// one is on the list, or has been reported by the instance.
+// one is on the list, or has been reported by the instance. The list may hold the entry of
+// another writer, so the process of the endpoint runs if it has reported since.
 func (n *node) isReplaced() bool {
-	return !n.Started.IsZero() && (n.newestStart.After(n.Started) || n.reportedStart.After(n.Started))
+	return !n.Started.IsZero() && (n.newestStart.After(n.Started) && !n.confirmed || n.reportedStart.After(n.Started))
+}
+
+// isListed reports whether the report is from the process of one of the endpoints.
+func isListed(l []*node, r Report) bool {
+	return !r.Started.IsZero() && slices.ContainsFunc(l, func(n *node) bool { return n.Started.Equal(r.Started) })
+}
+
+// isReporter reports whether the report may be from the process of the endpoint. Without
+// the start of either it may be, unless it is from a process that is listed.
+func (n *node) isReporter(r Report, listed bool) bool {
+	return n.Started.Equal(r.Started) || !listed && (r.Started.IsZero() || n.Started.IsZero())
 }
 
 // noteStart records the start of the process that an agent reports. If the list lacks that
 // process, Outdated is called.
-func (d *Dispatcher) noteStart(n *node, r Report) {
+func (d *Dispatcher) noteStart(n *node, r Report, listed bool) {
 	if n.Started.IsZero() || !r.Started.After(n.Started) {
 		return
 	}
 	n.reportedStart = r.Started
-	if d.Outdated != nil {
+	if d.Outdated != nil && !listed {
 		d.Outdated()
 	}
 }
--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -51,9 +51,9 @@
 type pool struct {
 	service string
 	nodes   map[string]*node
-	// byAddress holds the endpoint at each address; of several, the one that started
-	// last, as the others are gone.
-	byAddress map[netip.AddrPort]*node
+	// byAddress holds the endpoints at each address. All but one of them are gone, or were
+	// never there.
+	byAddress map[netip.AddrPort][]*node
 	// fresh and retried are the queues, each by rank and then by arrival.
 	fresh, retried []*waiter
 	// freshSinceRetried counts the slots that first requests got since a retried one
@@ -81,12 +81,6 @@
 	freed []time.Time
 }
 
-func (p *pool) addAddress(n *node) {
-	if old := p.byAddress[n.Address]; old == nil || n.Started.After(old.Started) {
-		p.byAddress[n.Address] = n
-	}
-}
-
 // queue returns the queue of a request.
 func (p *pool) queue(r Request) *[]*waiter {
 	if r.Retried {
