observer: bound the text of a refusal in the log

Cause: the line for a refused record has the error of its decoder, which quotes what it can't decode: a number or an address of up to 256 KB. Seen by operators: a line of that length for each change of such a record. Evidence: without the bound, four refused records took 1049045 bytes of the log in TestRefusalLogged. Result: the test passes (at most 2000 bytes).

--- a/observer/digests.go
+++ b/observer/digests.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
@@ -85,7 +86,7 @@
 	if i.Value == nil {
 		delete(s.digests, i.Key)
 	} else if err := json.Unmarshal(i.Value, d); err != nil || DigestKey(d.Model, d.Version) != i.Key {
-		s.Log.Warn().Str("key", i.Key).Err(err).Msg("digest-record-refused")
+		s.Log.Warn().Str("key", i.Key).Str(zerolog.ErrorFieldName, brief(err)).Msg("digest-record-refused")
 	} else {
 		s.digests[i.Key] = d
 	}
--- a/observer/endpoints.go
+++ b/observer/endpoints.go
@@ -4,6 +4,8 @@
 	"maps"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 )
 
@@ -49,7 +51,7 @@
 		}
 		e, err := s.DecodeEndpoint(i.Key, i.Value)
 		if err != nil {
-			s.Log.Warn().Str("endpoint", i.Key).Uint64("offset", i.Offset).Err(err).Msg("endpoint-entry-refused")
+			s.Log.Warn().Str("endpoint", i.Key).Uint64("offset", i.Offset).Str(zerolog.ErrorFieldName, brief(err)).Msg("endpoint-entry-refused")
 			delete(m, i.Key)
 			continue
 		}
--- a/observer/gateways.go
+++ b/observer/gateways.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 
+	"github.com/rs/zerolog"
+
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 )
 
@@ -26,7 +28,7 @@
 		}
 		g, err := s.DecodeGateway(i.Value)
 		if err != nil {
-			s.Log.Warn().Str("gateway", i.Key).Err(err).Msg("gateway-record-refused")
+			s.Log.Warn().Str("gateway", i.Key).Str(zerolog.ErrorFieldName, brief(err)).Msg("gateway-record-refused")
 			continue
 		}
 		s.gateways[i.Key] = g
--- a/observer/state.go
+++ b/observer/state.go
@@ -130,7 +130,7 @@
 		}
 		d, err := s.Decode(i.Key, i.Value)
 		if err != nil {
-			s.Log.Error().Str("key", i.Key).Uint64("offset", i.Offset).Err(err).Msg("record-refused")
+			s.Log.Error().Str("key", i.Key).Uint64("offset", i.Offset).Str(zerolog.ErrorFieldName, brief(err)).Msg("record-refused")
 			continue
 		}
 		if d != nil {
