dispatcher: let a report take back an odd one

Cause: a report with a later start than the endpoint's marked the endpoint as replaced until its entry changed. Reports are datagrams without a check. Seen by callers: after one odd datagram the endpoint got no more requests from that gateway, though its agent went on reporting it. Evidence: with the script alone, the send after the sound report gave refused-no-endpoint:1. Change: a report of the endpoint's own process clears the mark. If the later process does run, its next report sets the mark again within 0.6 s.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -202,7 +202,7 @@
 				n.begins.forget()
 			}
 			n.report, n.reportedAt, n.inFlightAtReport = r, d.now(), n.inFlight
-			n.confirmed = n.Started.Equal(r.Started)
+			n.noteConfirmed(r)
 		}
 		d.grant(p)
 	}
--- a/dispatcher/outdated.go
+++ b/dispatcher/outdated.go
@@ -54,6 +54,15 @@
 	return n.Started.Equal(r.Started) || !listed && (r.Started.IsZero() || n.Started.IsZero())
 }
 
+// noteConfirmed records that an agent reports the process of the endpoint. An earlier report
+// of a later process there was odd; if it was right, it is repeated soon.
+func (n *node) noteConfirmed(r Report) {
+	n.confirmed = n.Started.Equal(r.Started)
+	if n.confirmed {
+		n.reportedStart = time.Time{}
+	}
+}
+
 // noteStart records the start of the process that an agent reports. If the list lacks that
 // process, Outdated is called.
 func (d *Dispatcher) noteStart(n *node, r Report, listed bool) {
