--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -114,12 +114,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.gatewayNames = names
-	starts := newestStarts(list)
+	now := d.now()
+	starts := newestStarts(list, now)
 	rank := !slices.Equal(gateways, d.gatewayList)
 	d.gatewayList = gateways
 	d.gateways = max(len(names), 1)
 	d.addPools(t, list)
-	now := d.now()
 	for _, p := range d.pools {
 		s := t.Service(p.service)
 		if s != nil {
@@ -128,7 +128,7 @@
 		d.updateNodes(p, s, list, evacuated)
 		d.updateAvailability(p, now)
 		for _, n := range p.nodes {
-			n.newestStart = starts[n.Address]
+			n.setNewestStart(starts[n.Address])
 		}
 		d.updateSharers(p, rank)
 		d.updateCold(p)
@@ -169,7 +169,7 @@
 			delete(p.nodes, id)
 		}
 	}
-	p.byAddress = make(map[netip.AddrPort]*node, len(p.nodes))
+	p.byAddress = make(map[netip.AddrPort][]*node, len(p.nodes))
 	for id, e := range list {
 		if e.Service != p.service {
 			continue
@@ -186,7 +186,7 @@
 			n.extendCold(now.Add(e.Cold))
 		}
 		n.Endpoint = *e
-		p.addAddress(n)
+		p.byAddress[n.Address] = append(p.byAddress[n.Address], n)
 		n.Draining = e.Draining || evacuated[e.Domain]
 	}
 }
@@ -197,21 +197,25 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range d.pools {
-		n := p.byAddress[r.Address]
-		if n == nil {
-			continue
-		}
-		if !r.Started.IsZero() && !n.Started.IsZero() && !n.Started.Equal(r.Started) {
-			d.noteStart(n, r)
+		nodes := p.byAddress[r.Address]
+		if len(nodes) == 0 {
 			continue
 		}
-		if r.Versions[p.model] != n.report.Versions[p.model] {
-			n.begins.forget()
-		}
-		if r.Leaving {
-			d.note(p, n, Notice{Leaving: true}, FromReport)
+		listed := isListed(nodes, r)
+		for _, n := range nodes {
+			if !n.isReporter(r, listed) {
+				d.noteStart(n, r, listed)
+				continue
+			}
+			if r.Versions[p.model] != n.report.Versions[p.model] {
+				n.begins.forget()
+			}
+			n.report, n.reportedAt, n.inFlightAtReport = r, d.now(), n.inFlight
+			n.noteConfirmed(r)
+			if r.Leaving {
+				d.note(p, n, Notice{Leaving: true}, FromReport)
+			}
 		}
-		n.report, n.reportedAt, n.inFlightAtReport = r, d.now(), n.inFlight
 		d.grant(p)
 	}
 }
