observer: count versions that were replaced unseen

Cause: a table holds the newest record of each key only. A process that is paused while two versions are named learns of the second one alone and let requests go to the first one until the second one's grace period had ended.

Change: an update tells the time up to which the table covered all records. If numbers are missing between two versions, the last of these counts as named then. No number is missing where the platform itself answered a waiting read.

Evidence: with the guard off TestGraceOfMissedVersion says "floor 0, want 2" and "floor 1, want 2".

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -192,7 +192,7 @@
 		Wait: decisionWait, Pace: decisionInterval, Log: f.log, Reconnect: f.reconnect(f.tables.Operators),
 		Earliest: f.earliest,
 		Changed: func(u observer.Update) {
-			f.state.ApplyOperator(u.Fresh, u.After)
+			f.state.ApplyUpdate(u)
 			f.notify(len(u.Fresh) > 0)
 		},
 	}
--- a/observer/follower.go
+++ b/observer/follower.go
@@ -61,6 +61,10 @@
 	// After is a time before which none of the items was written, on the clock of
 	// package timekeeper; the zero time if they come from the first read of the table.
 	After time.Time
+	// Covered is a time before which no record was written that the table lacked before
+	// the read, on the same clock; the zero time if the read was the first one. It may be
+	// before After: Fresh lacks records that newer ones of their key replaced meanwhile.
+	Covered time.Time
 }
 
 // Follower keeps a Table up to date from its sources.
@@ -182,32 +186,41 @@
 // apply merges the result of a read that began at the given time into the table.
 func (f *Follower) apply(c connector.Changes, first bool, began time.Time) {
 	arrived := f.noticed(began)
-	u := Update{First: first, After: f.date(c, first, began, arrived)}
+	u := Update{First: first}
+	u.After, u.Covered = f.dates(c, first, began, arrived)
 	u.Fresh = f.Table.apply(c, arrived, u.After)
 	f.Changed(u)
 }
 
-// date returns a time before which none of the items of a result was written.
+// dates returns Update.After and Update.Covered of a result.
 //
-// The platform sends a new item at once to a reader that waits for it. If the table was
-// up to date when the read began, the items were therefore written when the response
-// arrived. Otherwise they may have been written at any time since the table was last
-// confirmed, for example before a late read. The same holds for items from another
-// process, which may have been late itself, unless it knows their date. The time of an
-// outage of the first source doesn't count, because a permission of the operators starts
-// anew after it.
-func (f *Follower) date(c connector.Changes, first bool, began, arrived time.Time) time.Time {
-	confirmed := f.Table.Confirmed()
+// The platform sends a new item at once to a reader that waits for it. If the table was up
+// to date when the platform was asked, the items were therefore written when the response
+// arrived, and no others before. Otherwise they may have been written at any time since
+// the table was last confirmed, for example before a late read. The same holds for items
+// from another process, which may have been late itself, unless it knows their date. The
+// time of an outage of the first source doesn't count, because a permission of the
+// operators starts anew after it.
+func (f *Follower) dates(c connector.Changes, first bool, began, arrived time.Time) (after, covered time.Time) {
+	covered = f.covered()
 	fromPlatform := c.Age == 0 && c.Written == 0
-	isCurrent := first && fromPlatform && began.Add(c.Delay).Sub(confirmed) < maxConfirmedAge
+	isCurrent := first && fromPlatform && began.Add(c.Delay).Sub(f.Table.Confirmed()) < maxConfirmedAge
 	switch written := arrived.Add(-c.Written); {
-	case confirmed.IsZero():
-		return time.Time{}
+	case covered.IsZero():
+		return time.Time{}, time.Time{}
 	case isCurrent || f.Earliest == nil:
-		return arrived
-	case c.Written > 0 && written.After(confirmed):
-		return written
-	case f.lastFailure.After(confirmed):
+		return arrived, arrived
+	case c.Written > 0 && written.After(f.Table.Confirmed()):
+		return written, covered
+	}
+	return covered, covered
+}
+
+// covered returns the time up to which the table covers all records, without the time of
+// an outage of the first source; the zero time before the first read.
+func (f *Follower) covered() time.Time {
+	confirmed := f.Table.Confirmed()
+	if !confirmed.IsZero() && f.lastFailure.After(confirmed) {
 		return f.lastFailure
 	}
 	return confirmed
--- a/observer/grace_test.go
+++ b/observer/grace_test.go
@@ -154,3 +154,49 @@
 		t.Errorf("7.1 s after the version: floor %d, want 2", n.Floor)
 	}
 }
+
+// Versions that were replaced before a paused process could read them count from the start of
+// its pause. Otherwise the first version was used until the grace period of the third one ended.
+func TestGraceOfMissedVersion(t *testing.T) {
+	const grace = 9 * time.Second
+	for _, named := range []bool{false, true} {
+		c := newStateWithClock()
+		if named {
+			c.ApplyOperator([]connector.Item{value("m", "1", 1)}, time.Time{})
+		}
+		paused := c.now
+		c.now = c.now.Add(5 * time.Second)
+		c.ApplyUpdate(observer.Update{Fresh: []connector.Item{value("m", "3", 3)}, After: c.now, Covered: paused})
+		c.now = paused.Add(grace - time.Millisecond)
+		if n := c.Target("m", grace); n.Floor > 1 {
+			t.Errorf("before the grace period of the missed version ends: floor %d", n.Floor)
+		}
+		c.now = paused.Add(grace)
+		if n := c.Target("m", grace); n.Floor != 2 || n.Version != 3 {
+			t.Errorf("after it: floor %d, want 2, target %d, want 3", n.Floor, n.Version)
+		}
+	}
+}
+
+// A read tells the time that the table covered before, also where its items are dated later.
+func TestCoveredBeforeLateRead(t *testing.T) {
+	var first time.Time
+	reads := 0
+	f := &observer.Follower{
+		Sources: []observer.Source{{Name: "peers", Read: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
+			if reads++; reads == 1 {
+				first = timekeeper.Now()
+			} else {
+				time.Sleep(600 * time.Millisecond)
+			}
+			c := items(uint64(reads))
+			c.Written = time.Millisecond
+			return c, nil
+		}}},
+		Earliest: func(time.Time) time.Time { return timekeeper.Now() },
+	}
+	u := readSecond(t, f)
+	if u.Covered.Before(first) || u.Covered.Sub(first) > 300*time.Millisecond || u.After.Sub(first) < 500*time.Millisecond {
+		t.Errorf("covered %s, dated %s after the first read, want 0 and 600 ms", u.Covered.Sub(first), u.After.Sub(first))
+	}
+}
--- a/observer/state.go
+++ b/observer/state.go
@@ -113,16 +113,21 @@
 	return nil
 }
 
-// ApplyOperator applies new operator records. after is a time before which none of them
-// was written; the zero time if it isn't known.
+// ApplyOperator applies new operator records to a state that lacked none before. after is a
+// time before which none of them was written; the zero time if it isn't known.
 func (s *State) ApplyOperator(items []connector.Item, after time.Time) {
+	s.ApplyUpdate(Update{Fresh: items, After: after, Covered: after})
+}
+
+// ApplyUpdate applies the result of a read of the operator table.
+func (s *State) ApplyUpdate(u Update) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.evacuated == nil {
 		s.evacuated = make(map[string]string)
 		s.targets = make(map[string]*versionHistory)
 	}
-	for _, i := range items {
+	for _, i := range u.Fresh {
 		if i.Value == nil {
 			delete(s.evacuated, i.Key)
 			s.Log.Info().Str("key", i.Key).Uint64("offset", i.Offset).Msg("record-dropped")
@@ -134,12 +139,12 @@
 			continue
 		}
 		if d != nil {
-			s.applyDecision(i, d, after)
+			s.applyDecision(i, d, u)
 		}
 	}
 }
 
-func (s *State) applyDecision(i connector.Item, d *Decision, after time.Time) {
+func (s *State) applyDecision(i connector.Item, d *Decision, u Update) {
 	l := s.Log.Info().Str("key", i.Key).Uint64("offset", i.Offset)
 	switch {
 	case d.Configuration != nil:
@@ -153,22 +158,44 @@
 		s.evacuated[i.Key] = d.Evacuated
 		l.Str("failure-domain", d.Evacuated).Msg("failure-domain-evacuated")
 	case d.Target != nil:
-		h := s.targets[d.Target.Model]
-		if h == nil {
-			h = new(versionHistory)
-			s.targets[d.Target.Model] = h
-		}
-		if n := len(*h); n > 0 && (*h)[n-1].version >= d.Target.Version {
+		if !s.applyTarget(d.Target, u) {
 			return
 		}
-		*h = append(*h, targetVersion{version: d.Target.Version, since: after})
-		if !after.IsZero() {
-			l.Dur("age-ms", s.Now().Sub(after))
+		if !u.After.IsZero() {
+			l.Dur("age-ms", s.Now().Sub(u.After))
 		}
 		l.Str("model", d.Target.Model).Int64("version", d.Target.Version).Msg("version-named")
 	}
 }
 
+// firstVersion is the version that endpoints serve before any is named.
+const firstVersion = 1
+
+// applyTarget adds a target version to the history, and reports whether it is newer than
+// those there. Versions between it and the one before were replaced before this process
+// could read them; the last of them may have been named right after the time that the
+// state covered.
+func (s *State) applyTarget(t *Target, u Update) bool {
+	h := s.targets[t.Model]
+	if h == nil {
+		h = new(versionHistory)
+		s.targets[t.Model] = h
+	}
+	previous := int64(firstVersion)
+	if n := len(*h); n > 0 {
+		previous = (*h)[n-1].version
+		if previous >= t.Version {
+			return false
+		}
+	}
+	if missed := t.Version - 1; missed > previous && !u.Covered.IsZero() {
+		*h = append(*h, targetVersion{version: missed, since: u.Covered})
+		s.Log.Info().Str("model", t.Model).Int64("version", missed).Dur("age-ms", s.Now().Sub(u.Covered)).Msg("version-missed")
+	}
+	*h = append(*h, targetVersion{version: t.Version, since: u.After})
+	return true
+}
+
 // Evacuated returns the set of failure domains that get no new requests.
 func (s *State) Evacuated() map[string]bool {
 	s.mu.Lock()
