observer: take no failed peer for an outage

Cause: a record that arrives after an outage of the platform is dated by the last failed read of the first source. The first source of an agent are the gateways. If one of them was frozen, the agent read the platform after up to 2.7 s and dated a version by the failed read, though it had been named before.

Callers saw: nothing recorded; an agent counted the times for the load of a version, and of the superseded one, up to 2.7 s late.

Change: a source tells whether it is other processes; only a failure of the platform counts.

Evidence: TestRecordWrittenWhilePeerFails said before "dated 600.700242ms after the last good read, want 0".

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -165,7 +165,7 @@
 	peers := &observer.PeerReader{Table: name, Client: f.client, Peers: f.peers, Now: time.Now}
 	platform := observer.Source{Name: "platform", Read: t.Read}
 	if !agent {
-		return []observer.Source{platform, {Name: "peers", Read: peers.Read}}
+		return []observer.Source{platform, {Name: "peers", Read: peers.Read, Peers: true}}
 	}
 	start := &observer.StartReader{Peers: peers.Read, Platform: t.Read, PlatformDelay: startPlatformDelay}
 	switch name {
@@ -174,7 +174,7 @@
 	case gatewayTable:
 		start.PlatformDelay = 0
 	}
-	return []observer.Source{{Name: "peers", Read: start.Read}, platform}
+	return []observer.Source{{Name: "peers", Read: start.Read, Peers: true}, platform}
 }
 
 // run follows all tables until ctx is done.
--- a/observer/follower.go
+++ b/observer/follower.go
@@ -50,6 +50,9 @@
 	Name string
 	// Read reads changes as connector.Table.Read does.
 	Read func(ctx context.Context, from uint64, wait time.Duration) (connector.Changes, error)
+	// Peers reports whether other processes are read, whose failure is no outage of the
+	// platform.
+	Peers bool
 }
 
 // Update is the result of a successful read.
@@ -99,8 +102,8 @@
 	Log    zerolog.Logger
 
 	firstSourceFailedAt time.Time
-	// lastFailure is the earliest time of the last failure of the first source, on the
-	// clock of package timekeeper.
+	// lastFailure is the earliest time of the last failure of the platform, on the clock
+	// of package timekeeper.
 	lastFailure time.Time
 	// firstSourceLost reports whether the last read from the first source failed.
 	firstSourceLost bool
@@ -169,10 +172,10 @@
 		if ctx.Err() != nil {
 			return false
 		}
+		if err != nil && !s.Peers {
+			f.lastFailure = f.noticed(began)
+		}
 		if i == 0 {
-			if err != nil {
-				f.lastFailure = f.noticed(began)
-			}
 			f.recordFirstSource(s, err)
 		}
 		if err == nil {
@@ -199,8 +202,8 @@
 // arrived, and no others before. Otherwise they may have been written at any time since
 // the table was last confirmed, for example before a late read. The same holds for items
 // from another process, which may have been late itself, unless it knows their date. The
-// time of an outage of the first source doesn't count, because a permission of the
-// operators starts anew after it.
+// time of an outage of the platform doesn't count, because a permission of the operators
+// starts anew after it.
 func (f *Follower) dates(c connector.Changes, first bool, began, arrived time.Time) (after, covered time.Time) {
 	covered = f.covered()
 	fromPlatform := c.Age == 0 && c.Written == 0
@@ -217,7 +220,7 @@
 }
 
 // covered returns the time up to which the table covers all records, without the time of
-// an outage of the first source; the zero time before the first read.
+// an outage of the platform; the zero time before the first read.
 func (f *Follower) covered() time.Time {
 	confirmed := f.Table.Confirmed()
 	if !confirmed.IsZero() && f.lastFailure.After(confirmed) {
--- a/observer/grace_test.go
+++ b/observer/grace_test.go
@@ -89,6 +89,24 @@
 	}
 }
 
+// The failure of a peer is no outage of the platform: an agent whose gateway was frozen dated a
+// version that it then read from the platform by the failed read, not by the last good one.
+func TestRecordWrittenWhilePeerFails(t *testing.T) {
+	var last time.Time
+	peers := outage(&last, time.Minute)
+	peers.Peers = true
+	f := &observer.Follower{
+		Sources: []observer.Source{peers, {Name: "platform", Read: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
+			return items(2), nil
+		}}},
+		Pace:     600 * time.Millisecond,
+		Earliest: func(time.Time) time.Time { return timekeeper.Now() },
+	}
+	if d := readSecond(t, f).After.Sub(last); d > 300*time.Millisecond {
+		t.Errorf("dated %s after the last good read, want 0", d)
+	}
+}
+
 // Reads that fail because the process was paused are no outage: the record is dated by
 // the start of the pause.
 func TestReadsFailAfterPause(t *testing.T) {
