activator: end leases in suspensions

Cause: the end of a lease was kept on the clock of time.Now, whose monotonic part stands still while the machine is suspended. (It is counted from before the append, not from learning.)

Callers saw: nothing recorded. An agent that was suspended drained its endpoint and sent load orders after its lease had ended, while another endpoint of the failure domain might be out of service by a grant of its own.

Change: leases are kept on the clock of package timekeeper and turned into times of Now before each decision.

Evidence: with the guard off (time.Now in leaseEnd) TestRunnerLeaseEndsIn- Suspension says "ordered a load: true, released the grant: true, want only the release".

--- a/activator/granting.go
+++ b/activator/granting.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -28,10 +29,20 @@
 	}
 	r.in.Grant = g
 	if g != nil {
-		r.in.GrantEnd = r.leases[g.Offset]
+		r.in.GrantEnd = r.leaseEnd(g.Offset)
 	}
 }
 
+// leaseEnd returns the end of a grant's lease on the clock of Now; the zero time if it isn't
+// known.
+func (r *Runner) leaseEnd(grant uint64) time.Time {
+	end, ok := r.leases[grant]
+	if !ok {
+		return time.Time{}
+	}
+	return r.in.Now.Add(end.Sub(r.LeaseNow()))
+}
+
 // record returns a record with one change by this instance.
 func (r *Runner) record(c recorder.Change) recorder.Record {
 	return recorder.Record{
@@ -52,7 +63,7 @@
 	}
 	// The lease starts before the append, so that it ends in this process no
 	// later than in any other.
-	end := r.Now().Add(t.Lease.Std())
+	end := r.LeaseNow().Add(t.Lease.Std())
 	n := r.record(recorder.Change{Kind: recorder.TakeGrant, Grant: &recorder.Grant{
 		Holder: r.Instance, FailureDomain: r.FailureDomain, Rollout: t.Name, Version: v.Name, Lease: t.Lease,
 	}})
--- a/activator/machine.go
+++ b/activator/machine.go
@@ -95,7 +95,7 @@
 	WarmBootID  string
 	WarmVersion recorder.Name
 	// Grant is the grant that this endpoint holds, or nil. GrantEnd is the end
-	// of its lease on this process's monotonic clock.
+	// of its lease on the clock of Now, without the time of suspensions since.
 	Grant    *registrar.Grant
 	GrantEnd time.Time
 	// NoGrantBefore and NoOrderBefore are the earliest times of the next grant
--- a/activator/runner.go
+++ b/activator/runner.go
@@ -10,6 +10,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/follower"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/registrar"
 )
@@ -68,7 +69,10 @@
 	Changed func()
 	// Now defaults to time.Now.
 	Now func() time.Time
-	Log zerolog.Logger
+	// LeaseNow is the clock of leases, which goes on while the machine is suspended. It
+	// defaults to timekeeper.Now.
+	LeaseNow func() time.Time
+	Log      zerolog.Logger
 
 	mu      sync.Mutex
 	status  Status
@@ -76,8 +80,10 @@
 
 	// The fields below are used by the goroutine of Run only, apart from the
 	// channels.
-	wake       chan struct{}
-	in         Inputs
+	wake chan struct{}
+	in   Inputs
+	// leases and pending hold the ends of leases by grant and by the operation that asks
+	// for one, on the clock of LeaseNow.
 	leases     map[uint64]time.Time
 	pending    map[recorder.OperationID]time.Time
 	fetching   *fetchJob
@@ -129,6 +135,9 @@
 	if r.Now == nil {
 		r.Now = time.Now
 	}
+	if r.LeaseNow == nil {
+		r.LeaseNow = timekeeper.Now
+	}
 }
 
 // Run repeatedly reads the engine's state, decides and acts until the context
