observer: take no fault of the own link for an outage

Cause: the time of an outage of the platform is left out of the date of a record. Each failed read counted as an outage, also if the process or its link was too slow for any response. By the users' rule only an unstable store or a disrupted link restarts the time of a version; a machine that was slow, or choked by callers, is in touch again 3 s later and bound by the old date.

Callers saw: nothing recorded; a gateway whose reads failed so for some seconds let requests go to an older version for as much longer.

Change: a failure of the platform is an outage once a peer responds after it, or if no peer is known. A gateway that alone can't reach the store still counts its outage: its link is cut then, which the rule excuses; and if a peer has the record, the peer's date is used.

Price: in an outage during which no peer can be reached either, the older version is given up as if there were no outage.

--- a/observer/follower.go
+++ b/observer/follower.go
@@ -102,9 +102,11 @@
 	Log    zerolog.Logger
 
 	firstSourceFailedAt time.Time
-	// lastFailure is the earliest time of the last failure of the platform, on the clock
-	// of package timekeeper.
-	lastFailure time.Time
+	// lastFailure is the earliest time of the last failure of the platform that was an
+	// outage, on the clock of package timekeeper. failure is the same for one since which
+	// no other source responded, so that the fault may be with this process; the zero
+	// time if there is none.
+	lastFailure, failure time.Time
 	// firstSourceLost reports whether the last read from the first source failed.
 	firstSourceLost bool
 }
@@ -172,9 +174,7 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		if err != nil && !s.Peers {
-			f.lastFailure = f.noticed(began)
-		}
+		f.recordOutage(s, err, began)
 		if i == 0 {
 			f.recordFirstSource(s, err)
 		}
@@ -186,6 +186,20 @@
 	return false
 }
 
+// recordOutage records the result of a read that began at the given time. If the platform
+// failed, it is an outage once a peer responds, or if there is none.
+func (f *Follower) recordOutage(s Source, err error, began time.Time) {
+	if err != nil && !s.Peers {
+		f.failure = f.noticed(began)
+	}
+	if f.failure.IsZero() {
+		return
+	}
+	if len(f.Sources) == 1 || s.Peers && (err == nil || errors.IsAny(err, errNoPeers, errNotReady)) {
+		f.lastFailure, f.failure = f.failure, time.Time{}
+	}
+}
+
 // apply merges the result of a read that began at the given time into the table.
 func (f *Follower) apply(c connector.Changes, first bool, began time.Time) {
 	arrived := f.noticed(began)
--- a/observer/grace_test.go
+++ b/observer/grace_test.go
@@ -89,6 +89,32 @@
 	}
 }
 
+// Reads that fail at the platform and at the peers tell of a fault of the own process or its
+// link, such as a full link, which extends no grace period; only what peers confirm is an outage.
+func TestRecordWrittenWhileAllSourcesFail(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		peer      func() error
+		low, high time.Duration
+	}{
+		{"peers fail", func() error { return errors.New("timeout") }, 0, 300 * time.Millisecond},
+		{"peers respond", func() error { return nil }, 400 * time.Millisecond, 1100 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var last time.Time
+			f := &observer.Follower{
+				Sources: []observer.Source{outage(&last, time.Second), {Name: "peers", Peers: true, Read: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
+					return connector.Changes{Next: 2, Age: timekeeper.Now().Sub(last)}, c.peer()
+				}}},
+				Earliest: func(time.Time) time.Time { return timekeeper.Now() },
+			}
+			if d := readSecond(t, f).After.Sub(last); d < c.low || d > c.high {
+				t.Errorf("dated %s after the last good read, want %s to %s", d, c.low, c.high)
+			}
+		})
+	}
+}
+
 // The failure of a peer is no outage of the platform: an agent whose gateway was frozen dated a
 // version that it then read from the platform by the failed read, not by the last good one.
 func TestRecordWrittenWhilePeerFails(t *testing.T) {
--- a/observer/peers.go
+++ b/observer/peers.go
@@ -32,8 +32,11 @@
 	notReadyBackoff = 100 * time.Millisecond
 )
 
-// errNotReady means that a peer doesn't know the table yet.
-var errNotReady = errors.New("the peer doesn't know the table yet")
+var (
+	// errNotReady means that a peer doesn't know the table yet.
+	errNotReady = errors.New("the peer doesn't know the table yet")
+	errNoPeers  = errors.New("no peers are known")
+)
 
 // PeerReader reads a table from the nearest peer that isn't in backoff. A peer is put
 // into backoff if a read fails, or if it has no changes and its data is stale, which
@@ -63,7 +66,7 @@
 func (r *PeerReader) Read(ctx context.Context, from uint64, wait time.Duration) (connector.Changes, error) {
 	a, ok := r.pick()
 	if !ok {
-		return connector.Changes{}, &Error{Op: "read " + r.Table, Kind: classifier.Unavailable, Err: errors.New("no peers are known")}
+		return connector.Changes{}, &Error{Op: "read " + r.Table, Kind: classifier.Unavailable, Err: errNoPeers}
 	}
 	if r.failed[a].unreachable {
 		// A read from a peer that may still be unreachable should fail quickly. A stale
