loader: check staged pieces again after a pause

Cause: staged pieces are read back before the order to load. A process that is paused between the check of a piece and the order used the result from before the pause, however long that was.

Callers saw: nothing recorded. By the users' rule WHOLE, which holds at all times and excuses no pause, a layer may not be taken with a piece that has been spoilt for 3 s.

Change: if the check began more than 2.5 s before the order, on a clock that goes on in suspensions, it is repeated, at most twice. A machine on which each of the three takes longer orders as before.

Evidence: with the guard off TestCorruptionInPause says "the engine was ordered to load a version with wrong pieces staged".

--- a/loader/loader.go
+++ b/loader/loader.go
@@ -53,6 +53,9 @@
 	// maxStageAttempts is the number of passes that stage missing or corrupt pieces
 	// before the step fails.
 	maxStageAttempts = 3
+	// maxCheckAge is the time between the check of the first staged piece and the order
+	// beyond which the pieces are checked again; they may become corrupt meanwhile.
+	maxCheckAge = 2500 * time.Millisecond
 )
 
 // Loader loads the target version into the engine of one instance. Its exported fields
@@ -177,7 +180,7 @@
 		return nil
 	}
 	l.staging.Lock()
-	err := l.stage(ctx, e.Model, m)
+	_, err := l.stage(ctx, e.Model, m)
 	l.staging.Unlock()
 	if err != nil {
 		return err
@@ -196,11 +199,12 @@
 
 func fail(op string, k classifier.Kind, err error) error { return &Error{Op: op, Kind: k, Err: err} }
 
-// stage stages all pieces at the engine and reads them back until all are right. The
+// stage stages all pieces at the engine and reads them back until all are right. It returns
+// when it began to read them for the last time, on the clock of package timekeeper. The
 // caller must hold l.staging.
-func (l *Loader) stage(ctx context.Context, model string, m *manifest) error {
+func (l *Loader) stage(ctx context.Context, model string, m *manifest) (time.Time, error) {
 	for range maxStageAttempts {
-		wrong := 0
+		began, wrong := timekeeper.Now(), 0
 		for i, d := range m.Chunks {
 			if b, err := l.Replica.Staged(ctx, model, i); err == nil && recorder.DigestOf(b) == d {
 				continue
@@ -208,17 +212,17 @@
 			wrong++
 			b, ok := l.Store.Get(d)
 			if !ok {
-				return fail("stage", classifier.Unavailable, errors.Newf("piece %d is not in the store", i))
+				return time.Time{}, fail("stage", classifier.Unavailable, errors.Newf("piece %d is not in the store", i))
 			}
 			if err := l.Replica.Stage(ctx, model, i, b); err != nil {
-				return fail("stage piece "+strconv.Itoa(i), classifier.Of(err), err)
+				return time.Time{}, fail("stage piece "+strconv.Itoa(i), classifier.Of(err), err)
 			}
 		}
 		if wrong == 0 {
-			return nil
+			return began, nil
 		}
 	}
-	return fail("stage", classifier.Unavailable, errors.Newf("staged pieces are still wrong after %d attempts", maxStageAttempts))
+	return time.Time{}, fail("stage", classifier.Unavailable, errors.Newf("staged pieces are still wrong after %d attempts", maxStageAttempts))
 }
 
 // awaitLoadStart waits until the engine may load. It returns false if a newer version
@@ -281,16 +285,16 @@
 // start stages the version and sends the order. It returns when it sent the order and
 // the engine's state before; the order may have been accepted unless err is set.
 func (l *Loader) start(ctx context.Context, e *resolver.Engine, version int64, m *manifest) (time.Time, connector.ReplicaReport, error) {
-	if err := l.stage(ctx, e.Model, m); err != nil {
+	cut, err := l.prepare(ctx, e, m)
+	if err != nil {
 		return time.Time{}, connector.ReplicaReport{}, err
 	}
-	cut := l.State.Table().MayCut(l.Service) && l.awaitStreams(ctx)
 	state, known := l.Reporter.State()
 	if !known {
 		return time.Time{}, state, fail("order", classifier.Unavailable, errors.New("the engine doesn't answer"))
 	}
 	began := time.Now()
-	err := l.Replica.Start(ctx, e.Model, version, state.Orders, cut)
+	err = l.Replica.Start(ctx, e.Model, version, state.Orders, cut)
 	l.Log.Info().Int64("version", version).Int64("orders", state.Orders).Bool("cut", cut).AnErr("refusal", err).Msg("load-ordered")
 	if classifier.Of(err) == classifier.OutcomeUnknown {
 		err = nil
@@ -298,6 +302,22 @@
 	return began, state, err
 }
 
+// prepare stages the version and waits for running streams, and reports whether some are
+// left to be cut. If the process was paused meanwhile, it does so again.
+func (l *Loader) prepare(ctx context.Context, e *resolver.Engine, m *manifest) (cut bool, err error) {
+	for range maxStageAttempts {
+		checked, err := l.stage(ctx, e.Model, m)
+		if err != nil {
+			return false, err
+		}
+		cut = l.State.Table().MayCut(l.Service) && l.awaitStreams(ctx)
+		if timekeeper.Now().Sub(checked) < maxCheckAge {
+			return cut, nil
+		}
+	}
+	return cut, nil
+}
+
 // awaitStreams waits up to streamGrace for running requests to end, and reports whether
 // some are still running. Cutting these is the lesser harm: they resume at another
 // engine, while an engine that waits for them reads no prompts for seconds.
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -49,6 +49,26 @@
 	}
 }
 
+// A piece that becomes corrupt in a pause between its check and the order must not be loaded.
+func TestCorruptionInPause(t *testing.T) {
+	f := newFixture()
+	reads := 0
+	f.engine.beforeRead = func(staged map[int][]byte) {
+		if !f.isClosed() || len(staged) < pieces {
+			return
+		}
+		if reads++; reads == pieces {
+			time.Sleep(3 * time.Second)
+			staged[0][9]++
+		}
+	}
+	f.run(t, 1)
+	f.checkLoadedPieces(t)
+	if reads < pieces {
+		t.Error("no piece was corrupted")
+	}
+}
+
 // An engine that restarts has nothing loaded. It must be loaded again from the pieces
 // that are still staged, not from the origin.
 func TestRestartedEngine(t *testing.T) {
