--- a/observer/grace_test.go
+++ b/observer/grace_test.go
@@ -89,6 +89,50 @@
 	}
 }
 
+// Reads that fail at the platform and at the peers tell of a fault of the own process or its
+// link, such as a full link, which extends no grace period; only what peers confirm is an outage.
+func TestRecordWrittenWhileAllSourcesFail(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		peer      func() error
+		low, high time.Duration
+	}{
+		{"peers fail", func() error { return errors.New("timeout") }, 0, 300 * time.Millisecond},
+		{"peers respond", func() error { return nil }, 400 * time.Millisecond, 1100 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var last time.Time
+			f := &observer.Follower{
+				Sources: []observer.Source{outage(&last, time.Second), {Name: "peers", Peers: true, Read: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
+					return connector.Changes{Next: 2, Age: timekeeper.Now().Sub(last)}, c.peer()
+				}}},
+				Earliest: func(time.Time) time.Time { return timekeeper.Now() },
+			}
+			if d := readSecond(t, f).After.Sub(last); d < c.low || d > c.high {
+				t.Errorf("dated %s after the last good read, want %s to %s", d, c.low, c.high)
+			}
+		})
+	}
+}
+
+// The failure of a peer is no outage of the platform: an agent whose gateway was frozen dated a
+// version that it then read from the platform by the failed read, not by the last good one.
+func TestRecordWrittenWhilePeerFails(t *testing.T) {
+	var last time.Time
+	peers := outage(&last, time.Minute)
+	peers.Peers = true
+	f := &observer.Follower{
+		Sources: []observer.Source{peers, {Name: "platform", Read: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
+			return items(2), nil
+		}}},
+		Pace:     600 * time.Millisecond,
+		Earliest: func(time.Time) time.Time { return timekeeper.Now() },
+	}
+	if d := readSecond(t, f).After.Sub(last); d > 300*time.Millisecond {
+		t.Errorf("dated %s after the last good read, want 0", d)
+	}
+}
+
 // Reads that fail because the process was paused are no outage: the record is dated by
 // the start of the pause.
 func TestReadsFailAfterPause(t *testing.T) {
@@ -154,3 +198,49 @@
 		t.Errorf("7.1 s after the version: floor %d, want 2", n.Floor)
 	}
 }
+
+// Versions that were replaced before a paused process could read them count from the start of
+// its pause. Otherwise the first version was used until the grace period of the third one ended.
+func TestGraceOfMissedVersion(t *testing.T) {
+	const grace = 9 * time.Second
+	for _, named := range []bool{false, true} {
+		c := newStateWithClock()
+		if named {
+			c.ApplyOperator([]connector.Item{value("m", "1", 1)}, time.Time{})
+		}
+		paused := c.now
+		c.now = c.now.Add(5 * time.Second)
+		c.ApplyUpdate(observer.Update{Fresh: []connector.Item{value("m", "3", 3)}, After: c.now, Covered: paused})
+		c.now = paused.Add(grace - time.Millisecond)
+		if n := c.Target("m", grace); n.Floor > 1 {
+			t.Errorf("before the grace period of the missed version ends: floor %d", n.Floor)
+		}
+		c.now = paused.Add(grace)
+		if n := c.Target("m", grace); n.Floor != 2 || n.Version != 3 {
+			t.Errorf("after it: floor %d, want 2, target %d, want 3", n.Floor, n.Version)
+		}
+	}
+}
+
+// A read tells the time that the table covered before, also where its items are dated later.
+func TestCoveredBeforeLateRead(t *testing.T) {
+	var first time.Time
+	reads := 0
+	f := &observer.Follower{
+		Sources: []observer.Source{{Name: "peers", Read: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
+			if reads++; reads == 1 {
+				first = timekeeper.Now()
+			} else {
+				time.Sleep(600 * time.Millisecond)
+			}
+			c := items(uint64(reads))
+			c.Written = time.Millisecond
+			return c, nil
+		}}},
+		Earliest: func(time.Time) time.Time { return timekeeper.Now() },
+	}
+	u := readSecond(t, f)
+	if u.Covered.Before(first) || u.Covered.Sub(first) > 300*time.Millisecond || u.After.Sub(first) < 500*time.Millisecond {
+		t.Errorf("covered %s, dated %s after the first read, want 0 and 600 ms", u.Covered.Sub(first), u.After.Sub(first))
+	}
+}
