forwarder: tie each answer to its request by exactly one id

Cause: requests without an id, which may run again, used kept connections, and an answer without an id was taken for theirs: also a refusal of an earlier request that the endpoint wrote once more. The caller got 503 "not run" while the request ran. An answer with two different ids was taken if the first one fitted.

Change: requests without an id get a connection of their own, as those that run at most once do. An answer with more than one id belongs to no request.

Tests: TestHandler, group "A refusal that is written once more on a kept connection". Before: without ids "any: again" gave 503 with Retry-After and had run; "once: two-ids" gave 200. The rest held before: kept connections for requests that run at most once: "once: again" gives 503 and has run; comparison of ids off: "once: foreign-refusal" is taken; connections kept after a refusal: 502 in place of 200; statuses without proof taken as final: 408, 429 and 503 are passed on.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -77,7 +77,7 @@
 // run makes the attempt. The connection is reset when the context ends.
 func (a *attempt) run(ctx context.Context, t *Transport) attemptResult {
 	address := a.call.lease.Endpoint.Address
-	conn, err := t.open(ctx, address, a.call.isAtMostOnce())
+	conn, err := t.open(ctx, address, a.call.needsFreshConnection())
 	if err != nil {
 		return attemptResult{outcome: retrier.NotRun, leaseOutcome: dispatcher.Failed, err: err}
 	}
@@ -117,8 +117,8 @@
 		return unknownOutcome("read response", err)
 	}
 	names := a.call.handler.Headers
-	if id := r.Header.Get(names.RequestID); id != a.call.id {
-		return unknownOutcome("read response", errors.Newf("response has request id %q", id))
+	if !a.call.isAnsweredBy(r.Header.Values(names.RequestID)) {
+		return unknownOutcome("read response", errors.Newf("response has request ids %q", r.Header.Values(names.RequestID)))
 	}
 	a.response = r
 	if ms, err := strconv.Atoi(r.Header.Get(names.Cold)); err == nil && ms > 0 {
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -69,6 +69,18 @@
 // isAtMostOnce reports whether the request must not run more than once.
 func (c *call) isAtMostOnce() bool { return c.match.Route.Repeat == resolver.AtMostOnce }
 
+// needsFreshConnection reports whether the request must not use a connection on which a late
+// response to an earlier request may arrive. Without an id it would be taken for its own.
+func (c *call) needsFreshConnection() bool { return c.isAtMostOnce() || c.id == "" }
+
+// isAnsweredBy reports whether a response with these request ids belongs to the call.
+func (c *call) isAnsweredBy(ids []string) bool {
+	if len(ids) == 0 {
+		return c.id == ""
+	}
+	return len(ids) == 1 && ids[0] == c.id
+}
+
 func (c *call) hasBody() bool {
 	return len(c.body) > 0 || c.method == http.MethodPost || c.method == http.MethodPut || c.method == http.MethodPatch
 }
--- a/forwarder/handler_test.go
+++ b/forwarder/handler_test.go
@@ -35,6 +35,9 @@
 // connection buffer.
 const largeBody = 7 << 20
 
+// avoidTime exceeds the time for which the dispatcher avoids an endpoint that refused.
+const avoidTime = 100 * time.Millisecond
+
 // script is the list of steps with which endpoints respond to requests, in the order of
 // arrival.
 type script struct {
@@ -62,6 +65,8 @@
 	// seen holds a summary of each request.
 	seen []string
 	ran  int
+	// lastID holds the request id of the last response on each connection.
+	lastID map[net.Conn]string
 	// onHold is called with the connection of a request whose step is "hold".
 	onHold func(net.Conn)
 	// floodedBytes counts the bytes sent in endless responses.
@@ -73,7 +78,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &fakeEndpoint{Listener: l}
+	b := &fakeEndpoint{Listener: l, lastID: make(map[net.Conn]string)}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
@@ -132,7 +137,9 @@
 		return "HTTP/1.1 " + status + "\r\nX-Id: " + id + "\r\nX-Signature: s\r\n" + more
 	}
 	whole := head("200 OK", id, "Content-Length: 5\r\n\r\nhello")
-	refusal := "HTTP/1.1 %s\r\nX-Id: " + id + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	refusalOf := func(status, id string) string {
+		return "HTTP/1.1 " + status + "\r\nX-Id: " + id + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	}
 	name, argument, _ := strings.Cut(step, " ")
 	n, _ := strconv.Atoi(argument)
 	out, keep := whole, true
@@ -142,9 +149,23 @@
 	}
 	switch name {
 	case "refuse":
-		out = fmt.Sprintf(refusal, "503 Busy")
+		out = refusalOf("503 Busy", id)
+	case "refuse-more":
+		out = refusalOf("503 Busy", id) + whole
+	case "again":
+		if last, ok := b.previousID(c); ok {
+			out = refusalOf("503 Busy", last) + whole
+		}
+	case "foreign-refusal":
+		out = "HTTP/1.1 100 Continue\r\n\r\n" + refusalOf("503 Busy", "other")
+	case "two-ids":
+		out = head("200 OK", id, "X-Id: other\r\nContent-Length: 5\r\n\r\nhello")
+	case "upper-id":
+		out = head("200 OK", strings.ToUpper(id), "Content-Length: 5\r\n\r\nhello")
+	case "status":
+		out = head(argument+" Status", id, "Content-Length: 3\r\n\r\nbad")
 	case "misdirect":
-		out = fmt.Sprintf(refusal, "421 Misdirected")
+		out = refusalOf("421 Misdirected", id)
 	case "slow":
 		time.Sleep(time.Duration(n) * time.Millisecond)
 	case "fail":
@@ -184,10 +205,20 @@
 		out = head("200 OK", id, "Content-Type: text/event-stream\r\nContent-Length: 999\r\n\r\n") + events(argument)
 		keep = false
 	}
+	b.mu.Lock()
+	b.lastID[c] = id
+	b.mu.Unlock()
 	_, _ = io.WriteString(c, out)
 	return keep
 }
 
+func (b *fakeEndpoint) previousID(c net.Conn) (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	id, ok := b.lastID[c]
+	return id, ok
+}
+
 // events returns an event for each word: "7" has this id and data, "-" data and no id, "text"
 // neither.
 func events(words string) string {
@@ -309,14 +340,22 @@
 func TestHandler(t *testing.T) {
 	datadriven.RunTest(t, "testdata/front", func(t *testing.T, d *datadriven.TestData) string {
 		var out strings.Builder
-		f, all := newHandler(t, 2)
+		backends := 2
+		if d.HasArg("alone") {
+			backends = 1
+		}
+		f, all := newHandler(t, backends)
 		s := httptest.NewServer(f)
+		n := 1
 		for line := range strings.Lines(d.Input) {
+			if d.HasArg("alone") {
+				time.Sleep(avoidTime)
+			}
 			if !d.HasArg("kept") {
 				// The dispatcher avoids a failed endpoint for a while, so each line gets
 				// new ones.
 				s.Close()
-				f, all = newHandler(t, 2)
+				f, all = newHandler(t, backends)
 				s = httptest.NewServer(f)
 			}
 			route, steps, _ := strings.Cut(strings.TrimSpace(line), ": ")
@@ -324,7 +363,8 @@
 			for _, b := range all {
 				b.script = script
 			}
-			fmt.Fprintf(&out, "%s -> %s\n", route, sendRequest(s.URL, route))
+			fmt.Fprintf(&out, "%s -> %s\n", route, sendRequestWithID(s.URL, route, requestID(d, n)))
+			n++
 			out.WriteString(summarizeRequests(all))
 		}
 		s.Close()
@@ -355,13 +395,29 @@
 	return strings.TrimRight(fmt.Sprintf("  sent %d ran %d %s", seen, ran, strings.Join(resumes, " ")), " ") + "\n"
 }
 
-func sendRequest(url, route string) string {
+// requestID returns the id of the n-th request of a group: the same one for all requests
+// unless the group says otherwise.
+func requestID(d *datadriven.TestData, n int) string {
+	switch {
+	case d.HasArg("no-ids"):
+		return ""
+	case d.HasArg("own-ids"):
+		return fmt.Sprintf("id-%d", n)
+	}
+	return "id-1"
+}
+
+func sendRequest(url, route string) string { return sendRequestWithID(url, route, "id-1") }
+
+func sendRequestWithID(url, route, id string) string {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	q, _ := http.NewRequestWithContext(ctx, http.MethodPost, url+"/"+route+"/x?y=1", strings.NewReader("body"))
 	q.Host = "h"
 	q.Header.Set("Authorization", "Bearer key")
-	q.Header.Set(headers.RequestID, "id-1")
+	if id != "" {
+		q.Header.Set(headers.RequestID, id)
+	}
 	q.Header.Set(headers.Account, "forged")
 	r, err := http.DefaultClient.Do(q)
 	if err != nil {
