gateway: write no other answer into a stream that has begun

Cause: a stream broke off and the next endpoint, or a gateway of another failure domain, answered 400 or 409 with an outcome other than "run". That answer ends a call; its body was written into the caller's stream, which then ended like one that is complete but for its last event.

Change: in a stream that has begun, such an answer counts as a failed attempt. The stream goes on at the next endpoint or ends in an error event.

Before: the word "invalid" of the second answer stood in the stream, for 400 and 409. The other cases (failed, refused, without an outcome) held before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -162,7 +162,7 @@
 	if a.reason != limitReason && o != retrier.Unknown && !p.remote {
 		c.gateway.table.Avoid(p.name, time.Now().Add(avoidDuration))
 	}
-	if r.StatusCode == http.StatusConflict || r.StatusCode == http.StatusBadRequest {
+	if c.out == nil && (r.StatusCode == http.StatusConflict || r.StatusCode == http.StatusBadRequest) {
 		// The request is invalid, or the first call with its key is still running.
 		// Another endpoint would answer the same.
 		a.finished = true
--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -62,7 +63,7 @@
 }
 
 // serve answers one attempt by its script line: whole [VERSION], refuse REASON,
-// fail, unknown, drop, cut, bare, or stream VERSION FRAMES [cut].
+// fail, unknown, drop, cut, bare, invalid STATUS, or stream VERSION FRAMES [cut].
 func (e *scriptedEndpoints) serve(name string, w http.ResponseWriter, q *http.Request) {
 	_, _ = io.Copy(io.Discard, q.Body)
 	s := append(e.next(name, q), "", "", "")
@@ -83,6 +84,11 @@
 	case "fail", "unknown":
 		h.Set(header.Outcome, map[string]string{"fail": header.Failed, "unknown": header.Unknown}[s[0]])
 		w.WriteHeader(http.StatusBadGateway)
+	case "invalid":
+		n, _ := strconv.Atoi(s[1])
+		h.Set(header.Outcome, header.NotRun)
+		w.WriteHeader(n)
+		_, _ = io.WriteString(w, "invalid")
 	case "bare":
 		h.Del(header.Outcome)
 		_, _ = io.WriteString(w, "answer")
