agent: cut the connection of an answer that the deadline ended

Cause: the engine sends an answer without a length and stops in the middle. When the request's deadline passed, the agent ended its response in the regular way with the part that it had. The agent's deadline is rounded down to milliseconds and may pass before the gateway's, to which the part then looked like the whole answer.

Change: the connection is cut after every error of the copy.

--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -279,7 +279,8 @@
 	return result{failed: late, ended: !late}
 }
 
-// copyWhole copies an answer that is not a stream.
+// copyWhole copies an answer that is not a stream. One that the deadline cuts must not look
+// whole either.
 func copyWhole(ctx context.Context, v *visit, r *http.Response) result {
 	for _, k := range []string{"Content-Type", "Content-Length"} {
 		if s := r.Header.Get(k); s != "" {
@@ -288,7 +289,7 @@
 	}
 	v.w.WriteHeader(r.StatusCode)
 	if _, err := io.Copy(v.w, r.Body); err != nil {
-		return result{failed: ctx.Err() == nil, abort: ctx.Err() == nil}
+		return result{failed: ctx.Err() == nil, abort: true}
 	}
 	return result{}
 }
--- a/internal/agent/requests_test.go
+++ b/internal/agent/requests_test.go
@@ -37,7 +37,7 @@
 }
 
 // ServeHTTP answers one request: whole VERSION BOOT, status CODE VERSION BOOT,
-// drop, cut, or stream BOOT EVENT..., where an event is a sequence number,
+// drop, cut, stall, or stream BOOT EVENT..., where an event is a sequence number,
 // "foreign-N" or "end-N". A dash leaves a header out; "resumes" before the
 // events confirms the position asked for.
 func (s *target) ServeHTTP(w http.ResponseWriter, q *http.Request) {
@@ -62,6 +62,11 @@
 		name("v1", "boot")
 		w.Header().Set("Content-Length", "100")
 		_, _ = io.WriteString(w, "ans")
+	case "stall":
+		name("v1", "boot")
+		_, _ = io.WriteString(w, "ans")
+		_ = http.NewResponseController(w).Flush()
+		<-q.Context().Done()
 	case "stream":
 		name("v1", s.script[1])
 		s.stream(w, q)
