gateway, agent: responses between processes name their request

Cause: nothing tied an agent's or a peer gateway's answer to its request but the kept connection on which it came; only frames of streams carry the id. A refusal that belonged to an earlier request was believed: a booking that an agent was running was sent to a second one.

Change: agents and gateways repeat Eelgrass-Request-Id in every response. A gateway takes a response that names another request for none: the outcome is unknown and the endpoint is avoided for a second. A response without the header, as older processes send it, is taken as before.

Tests: TestAttempts, group "An answer that names another request". Before: "booking, foreign refuse" ran twice (ran=2), "keyed" too; foreign answers and a foreign stream were passed on.

--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -35,6 +35,7 @@
 // arrive reads the whole request, so that a cut one is refused before any work.
 func (a *Agent) arrive(w http.ResponseWriter, q *http.Request) (*visit, context.Context, context.CancelFunc, bool) {
 	v := &visit{agent: a, w: &sender.Writer{ResponseWriter: w}, q: q, id: q.Header.Get(header.RequestID), begun: time.Now()}
+	w.Header().Set(header.RequestID, v.id)
 	left := header.Remaining(q.Header, maxTime)
 	if left <= 0 {
 		v.refuse("deadline", "the deadline has passed")
--- a/internal/agent/requests_test.go
+++ b/internal/agent/requests_test.go
@@ -228,6 +228,9 @@
 		}()
 		h.ServeHTTP(w, q)
 	}()
+	if w.Header().Get(header.RequestID) != q.Header.Get(header.RequestID) {
+		cut += " unnamed"
+	}
 	b := strings.TrimSpace(blank.ReplaceAllString(ports.ReplaceAllString(ids.ReplaceAllString(w.Body.String(), "ID"), "ADDRESS"), "\n"))
 	return fmt.Sprintf("%d outcome=%s reason=%s version=%s%s\n%s\n", w.Code, w.Header().Get(header.Outcome),
 		w.Header().Get(header.Reason), w.Header().Get(header.Version), cut, b)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -110,7 +110,8 @@
 	return outgoing{c.q.Method, c.q.URL.RequestURI(), h, c.body}
 }
 
-// send sends o to p and returns the response.
+// send sends o to p and returns the response. A response that names another request is an
+// error; processes of older versions name none.
 func (g *Gateway) send(ctx context.Context, o outgoing, p target) (*http.Response, error) {
 	scheme := "http"
 	if !g.TLS.IsZero() {
@@ -123,7 +124,15 @@
 	// Without GetBody the transport can't repeat the request on its own.
 	q.GetBody = nil
 	q.Header = o.header
-	return g.client.Do(q)
+	r, err := g.client.Do(q)
+	if err != nil {
+		return nil, err
+	}
+	if id := r.Header.Get(header.RequestID); id != "" && id != o.header.Get(header.RequestID) {
+		_ = r.Body.Close()
+		return nil, errors.Newf("response to request %q", id)
+	}
+	return r, nil
 }
 
 // attemptFailed returns the result of an attempt that got no response. The
--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -56,7 +56,7 @@
 		s = e.script[n]
 	}
 	e.seen = append(e.seen, name+q.Header.Get(header.ResumeFrom))
-	if !strings.HasPrefix(s, "refuse") {
+	if !strings.HasPrefix(s, "refuse") && !strings.HasPrefix(s, "old refuse") {
 		e.ran++
 	}
 	return strings.Fields(s)
@@ -64,12 +64,22 @@
 
 // serve answers one attempt by its script line: whole [VERSION], refuse REASON,
 // fail, unknown, drop, cut, bare, invalid STATUS, or stream VERSION FRAMES [cut].
+// "foreign" before it answers another request, "old" leaves the request id out.
 func (e *scriptedEndpoints) serve(name string, w http.ResponseWriter, q *http.Request) {
 	_, _ = io.Copy(io.Discard, q.Body)
-	s := append(e.next(name, q), "", "", "")
+	s := append(e.next(name, q), "", "", "", "")
 	h := w.Header()
 	h.Set(header.Outcome, header.Run)
 	h.Set(header.Version, "v1")
+	h.Set(header.RequestID, q.Header.Get(header.RequestID))
+	switch s[0] {
+	case "foreign":
+		h.Set(header.RequestID, "other")
+		s = s[1:]
+	case "old":
+		h.Del(header.RequestID)
+		s = s[1:]
+	}
 	switch s[0] {
 	case "whole":
 		if s[1] != "" {
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -30,6 +30,7 @@
 // between failure domains at most once.
 func (g *Gateway) servePeer(w http.ResponseWriter, q *http.Request) {
 	c := &call{gateway: g, w: &sender.Writer{ResponseWriter: w}, q: q, id: q.Header.Get(header.RequestID), callerID: q.Header.Get(header.CallerID), begun: time.Now()}
+	w.Header().Set(header.RequestID, c.id)
 	c.account = &registrar.ClientAccount{}
 	c.account.Name = recorder.Name(q.Header.Get(header.Account))
 	c.account.Priority = header.Int(q.Header, header.Priority, 0)
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Request headers.
+// Request headers. Responses between processes of the system repeat RequestID.
 const (
 	RequestID      = "Eelgrass-Request-Id"
 	Version        = "Eelgrass-Version"
