agent: pass on no engine's answer that names another request

Cause: an engine's whole answer was compared by version and boot id only, so one to an earlier request, written once more on a kept connection, was passed on. Frames of streams carry the id and were compared.

Change: an answer whose X-Request-Id is another one counts as failed. Engines that don't repeat the header are believed as before.

Test: TestRequests, "foreign whole" and "foreign status 400"; before, both answers were passed on.

--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -193,6 +193,10 @@
 		v.fail(header.Failed, "resume", "the engine does not resume streams")
 		return result{}
 	}
+	if id := r.Header.Get(header.CallerID); id != "" && id != v.id {
+		v.fail(header.Failed, "foreign", fmt.Sprintf("engine answered request %q", id))
+		return result{failed: true}
+	}
 	if err := sameSource(r, p); err != nil {
 		e.runner.Suspect(p.BootID, "engine answered from another version or boot")
 		v.fail(header.Failed, "version", err.Error())
--- a/internal/agent/requests_test.go
+++ b/internal/agent/requests_test.go
@@ -39,7 +39,7 @@
 // ServeHTTP answers one request: whole VERSION BOOT, status CODE VERSION BOOT,
 // drop, cut, stall, or stream BOOT EVENT..., where an event is a sequence number,
 // "foreign-N" or "end-N". A dash leaves a header out; "resumes" before the
-// events confirms the position asked for.
+// events confirms the position asked for. "foreign" before it names another request.
 func (s *target) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	_, _ = io.Copy(io.Discard, q.Body)
 	s.ran.Add(1)
@@ -50,13 +50,18 @@
 			}
 		}
 	}
-	switch s.script[0] {
+	script := s.script
+	if script[0] == "foreign" {
+		w.Header().Set(header.CallerID, "other")
+		script = script[1:]
+	}
+	switch script[0] {
 	case "whole":
-		name(s.script[1], s.script[2])
+		name(script[1], script[2])
 		_, _ = io.WriteString(w, "answer")
 	case "status":
-		name(s.script[2], s.script[3])
-		n, _ := strconv.Atoi(s.script[1])
+		name(script[2], script[3])
+		n, _ := strconv.Atoi(script[1])
 		w.WriteHeader(n)
 	case "cut":
 		name("v1", "boot")
