agent: open a connection for each call of a plain service

Cause: the agent kept connections to its service. Only the order on the connection ties a plain service's answer to a call, so an earlier answer that the service wrote once more was taken for the next one: callers got another account's answer, and the guard would have recorded it for a key.

Change: the client of plain services keeps no connections.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -227,7 +227,7 @@
 	if a.model() != "" {
 		a.back, err = newEngine(a)
 	} else {
-		a.back = &service{agent: a}
+		a.back = newService(a)
 	}
 	if err != nil {
 		return outer, local, err
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -34,8 +34,16 @@
 // service is the backend of a plain service.
 type service struct {
 	agent *Agent
-	guard atomic.Pointer[guarder.Guard]
-	up    atomic.Bool
+	// client opens a connection for each call: nothing but its connection ties a plain
+	// service's answer to a call.
+	client *http.Client
+	guard  atomic.Pointer[guarder.Guard]
+	up     atomic.Bool
+}
+
+func newService(a *Agent) *service {
+	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	return &service{agent: a, client: &http.Client{Transport: t}}
 }
 
 func (s *service) handle(outer, _ *http.ServeMux) {
@@ -213,7 +221,7 @@
 	if n := v.q.Header.Get(header.IdempotencyKey); n != "" {
 		header.SetIdempotencyKey(q.Header, n)
 	}
-	r, err := s.agent.client.Do(q)
+	r, err := s.client.Do(q)
 	if err != nil {
 		s.agent.Log.Warn().Str("request-id", v.id).Err(err).Msg("service not reached")
 		if connector.IsDialError(err) {
