--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -193,6 +193,10 @@
 		v.fail(header.Failed, "resume", "the engine does not resume streams")
 		return result{}
 	}
+	if id := r.Header.Get(header.CallerID); id != "" && id != v.id {
+		v.fail(header.Failed, "foreign", fmt.Sprintf("engine answered request %q", id))
+		return result{failed: true}
+	}
 	if err := sameSource(r, p); err != nil {
 		e.runner.Suspect(p.BootID, "engine answered from another version or boot")
 		v.fail(header.Failed, "version", err.Error())
@@ -279,7 +283,8 @@
 	return result{failed: late, ended: !late}
 }
 
-// copyWhole copies an answer that is not a stream.
+// copyWhole copies an answer that is not a stream. One that the deadline cuts must not look
+// whole either.
 func copyWhole(ctx context.Context, v *visit, r *http.Response) result {
 	for _, k := range []string{"Content-Type", "Content-Length"} {
 		if s := r.Header.Get(k); s != "" {
@@ -288,7 +293,7 @@
 	}
 	v.w.WriteHeader(r.StatusCode)
 	if _, err := io.Copy(v.w, r.Body); err != nil {
-		return result{failed: ctx.Err() == nil, abort: ctx.Err() == nil}
+		return result{failed: ctx.Err() == nil, abort: true}
 	}
 	return result{}
 }
--- a/internal/agent/requests_test.go
+++ b/internal/agent/requests_test.go
@@ -37,9 +37,9 @@
 }
 
 // ServeHTTP answers one request: whole VERSION BOOT, status CODE VERSION BOOT,
-// drop, cut, or stream BOOT EVENT..., where an event is a sequence number,
+// drop, cut, stall, or stream BOOT EVENT..., where an event is a sequence number,
 // "foreign-N" or "end-N". A dash leaves a header out; "resumes" before the
-// events confirms the position asked for.
+// events confirms the position asked for. "foreign" before it names another request.
 func (s *target) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	_, _ = io.Copy(io.Discard, q.Body)
 	s.ran.Add(1)
@@ -50,18 +50,28 @@
 			}
 		}
 	}
-	switch s.script[0] {
+	script := s.script
+	if script[0] == "foreign" {
+		w.Header().Set(header.CallerID, "other")
+		script = script[1:]
+	}
+	switch script[0] {
 	case "whole":
-		name(s.script[1], s.script[2])
+		name(script[1], script[2])
 		_, _ = io.WriteString(w, "answer")
 	case "status":
-		name(s.script[2], s.script[3])
-		n, _ := strconv.Atoi(s.script[1])
+		name(script[2], script[3])
+		n, _ := strconv.Atoi(script[1])
 		w.WriteHeader(n)
 	case "cut":
 		name("v1", "boot")
 		w.Header().Set("Content-Length", "100")
 		_, _ = io.WriteString(w, "ans")
+	case "stall":
+		name("v1", "boot")
+		_, _ = io.WriteString(w, "ans")
+		_ = http.NewResponseController(w).Flush()
+		<-q.Context().Done()
 	case "stream":
 		name("v1", s.script[1])
 		s.stream(w, q)
@@ -223,6 +233,9 @@
 		}()
 		h.ServeHTTP(w, q)
 	}()
+	if w.Header().Get(header.RequestID) != q.Header.Get(header.RequestID) {
+		cut += " unnamed"
+	}
 	b := strings.TrimSpace(blank.ReplaceAllString(ports.ReplaceAllString(ids.ReplaceAllString(w.Body.String(), "ID"), "ADDRESS"), "\n"))
 	return fmt.Sprintf("%d outcome=%s reason=%s version=%s%s\n%s\n", w.Code, w.Header().Get(header.Outcome),
 		w.Header().Get(header.Reason), w.Header().Get(header.Version), cut, b)
--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -55,20 +56,30 @@
 		s = e.script[n]
 	}
 	e.seen = append(e.seen, name+q.Header.Get(header.ResumeFrom))
-	if !strings.HasPrefix(s, "refuse") {
+	if !strings.HasPrefix(s, "refuse") && !strings.HasPrefix(s, "old refuse") {
 		e.ran++
 	}
 	return strings.Fields(s)
 }
 
 // serve answers one attempt by its script line: whole [VERSION], refuse REASON,
-// fail, unknown, drop, cut, bare, or stream VERSION FRAMES [cut].
+// fail, unknown, drop, cut, bare, invalid STATUS, or stream VERSION FRAMES [cut].
+// "foreign" before it answers another request, "old" leaves the request id out.
 func (e *scriptedEndpoints) serve(name string, w http.ResponseWriter, q *http.Request) {
 	_, _ = io.Copy(io.Discard, q.Body)
-	s := append(e.next(name, q), "", "", "")
+	s := append(e.next(name, q), "", "", "", "")
 	h := w.Header()
 	h.Set(header.Outcome, header.Run)
 	h.Set(header.Version, "v1")
+	h.Set(header.RequestID, q.Header.Get(header.RequestID))
+	switch s[0] {
+	case "foreign":
+		h.Set(header.RequestID, "other")
+		s = s[1:]
+	case "old":
+		h.Del(header.RequestID)
+		s = s[1:]
+	}
 	switch s[0] {
 	case "whole":
 		if s[1] != "" {
@@ -83,6 +94,11 @@
 	case "fail", "unknown":
 		h.Set(header.Outcome, map[string]string{"fail": header.Failed, "unknown": header.Unknown}[s[0]])
 		w.WriteHeader(http.StatusBadGateway)
+	case "invalid":
+		n, _ := strconv.Atoi(s[1])
+		h.Set(header.Outcome, header.NotRun)
+		w.WriteHeader(n)
+		_, _ = io.WriteString(w, "invalid")
 	case "bare":
 		h.Del(header.Outcome)
 		_, _ = io.WriteString(w, "answer")
