observer: refuse a response of a peer that is no table

Cause: any JSON object decodes as the changes of a table, and one without fields as an empty table that is up to date. Another program may have the address of a gateway that is gone, or a gateway record may name it. Seen by callers: an agent that asks this program first follows it for good: it learns no version, and no other peer or the platform is asked. Evidence: without the check, all five bodies of TestOddPeer were read as tables, and the second read went to the same program. Change: a response without an end offset, or with a negative age, is an error; the next peer is asked. A gateway always sends an end offset. An end offset that is too large is not noticed.

--- a/observer/peers.go
+++ b/observer/peers.go
@@ -137,5 +137,9 @@
 	if err := json.NewDecoder(b).Decode(&c); err != nil {
 		return c, &Error{Op: op, Kind: classifier.Invalid, Err: err}
 	}
+	// Another program may have taken over the address of a peer.
+	if c.Next == 0 || c.Age < 0 || c.Written < 0 {
+		return connector.Changes{}, &Error{Op: op, Kind: classifier.Invalid, Err: errors.New("the response is not a table")}
+	}
 	return c, nil
 }
--- a/observer/peers_test.go
+++ b/observer/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -129,3 +130,25 @@
 		t.Errorf("the view changed the table: %s", s)
 	}
 }
+
+// A program that has taken over the address of a peer must not be followed in its place: its
+// response was taken for an empty table that is up to date, again and again.
+func TestOddPeer(t *testing.T) {
+	for _, body := range []string{`{}`, `null`, `{"items":null,"next":0}`, `{"next":5,"age":-1}`, `{"next":5,"written":-1}`} {
+		odd := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+		defer odd.Close()
+		sound := newPeer(t)
+		r := &observer.PeerReader{
+			Table: "t", Client: http.DefaultClient, Now: time.Now,
+			Peers: func() []netip.AddrPort {
+				return []netip.AddrPort{netip.MustParseAddrPort(strings.TrimPrefix(odd.URL, "http://")), sound.address}
+			},
+		}
+		if _, err := r.Read(t.Context(), 0, 0); err == nil {
+			t.Errorf("%s was read as a table", body)
+		}
+		if c, err := r.Read(t.Context(), 0, 0); err != nil || len(c.Items) != 1 {
+			t.Errorf("after %s: %+v, %v", body, c, err)
+		}
+	}
+}
