forwarder: keep large numbers of milliseconds from overflowing

Cause: the deadline of a caller and the cold time of an endpoint's response were multiplied to nanoseconds before they were bounded. Seen by callers: 504 at once for a deadline of over 292 years; a cold endpoint that announces such a time got requests like a warm one.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -121,8 +121,8 @@
 		return unknownOutcome("read response", errors.Newf("response has request id %q", id))
 	}
 	a.response = r
-	if ms, err := strconv.Atoi(r.Header.Get(names.Cold)); err == nil && ms > 0 {
-		a.call.handler.Dispatcher.ExtendCold(a.call.lease, time.Duration(ms)*time.Millisecond)
+	if ms, err := strconv.ParseInt(r.Header.Get(names.Cold), 10, 64); err == nil && ms > 0 {
+		a.call.handler.Dispatcher.ExtendCold(a.call.lease, milliseconds(ms, maxColdTime))
 	}
 	if v, refused := a.readRefusal(); refused {
 		return v
--- a/forwarder/handler_test.go
+++ b/forwarder/handler_test.go
@@ -145,6 +145,8 @@
 		out = fmt.Sprintf(refusal, "503 Busy")
 	case "misdirect":
 		out = fmt.Sprintf(refusal, "421 Misdirected")
+	case "cold":
+		out = head("200 OK", id, "X-Cold: "+argument+"\r\nContent-Length: 5\r\n\r\nhello")
 	case "slow":
 		time.Sleep(time.Duration(n) * time.Millisecond)
 	case "fail":
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -74,7 +74,7 @@
 	c.service = m.Route.Pick(rand.IntN(m.Route.Weight()))
 	left := m.Route.Timeout
 	if ms, err := strconv.ParseInt(q.Header.Get(n.Deadline), 10, 64); err == nil && ms > 0 {
-		left = min(left, time.Duration(ms)*time.Millisecond)
+		left = milliseconds(ms, left)
 		c.callerRetry = c.handler.isCallerRetry(m.Route.Name, ms)
 	}
 	c.deadline = c.start.Add(left)
