--- a/forwarder/handler_test.go
+++ b/forwarder/handler_test.go
@@ -166,6 +166,8 @@
 		out = head(argument+" Status", id, "Content-Length: 3\r\n\r\nbad")
 	case "misdirect":
 		out = refusalOf("421 Misdirected", id)
+	case "cold":
+		out = head("200 OK", id, "X-Cold: "+argument+"\r\nContent-Length: 5\r\n\r\nhello")
 	case "slow":
 		time.Sleep(time.Duration(n) * time.Millisecond)
 	case "fail":
