distributor: bound the chunks asked for by the rate of the link

Cause: an agent asks for up to 27 chunks at once, whatever its link carries. At 0.91 Mbit/s a chunk takes 0.2 s, and all that use the link wait 1 to 2.5 s. Seen by callers: GONE and VERSION, as requests reach an engine after their callers left, or after its version was due.

Change: Link measures the rate at which the chunks of peers arrive, and bounds the bytes that were asked for by the time that they take (0.25 s, at least one chunk). On a link that carries fewer than three chunks in that time, a request isn't held at the source; it counts from when it is sent until the chunk has arrived, and until its bytes most likely have if it is given up. No second copy is asked for while the first one arrives. Reads from the origin don't wait, but peers wait for them.

--- a/distributor/attempt.go
+++ b/distributor/attempt.go
@@ -60,6 +60,21 @@
 	return t.f.crossRegion.WaitN(ctx, int(size))
 }
 
+// claim waits until the chunk may be asked for, and while it is arriving from another source
+// over a link that all sources share and that is narrow.
+func (t *task) claim(ctx context.Context) (*claim, error) {
+	for {
+		c, err := t.f.Link.claim(ctx, t.sizes[t.chunk])
+		if err != nil || !c.narrow || t.receiving.Load() == 0 {
+			return c, err
+		}
+		c.end(false)
+		if err := sleep(ctx, t.f.Poll); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // isCrossRegion reports whether the bytes of a source come from another region.
 func (f *Fetcher) isCrossRegion(s Source) bool {
 	return s.Level == OtherRegion || s.Level == FromOrigin && f.Self.Region != f.OriginRegion
@@ -73,9 +88,9 @@
 		return err
 	}
 	d := t.chunks[t.chunk]
-	wait := f.Poll
+	hold := f.Poll
 	if s.LowerRanked {
-		wait = 0
+		hold = 0
 	}
 	begin := f.Now()
 	hedged := false
@@ -86,6 +101,14 @@
 		if !s.LowerRanked {
 			f.Store.setWaitChain(d, known.prepend(s.Member.Instance))
 		}
+		c, err := t.claim(ctx)
+		if err != nil {
+			return err
+		}
+		wait := hold
+		if c.narrow {
+			wait = 0
+		}
 		asked := f.Now()
 		w := newWatchdog(wait+f.Stall, f.Stall, cancel, func() {
 			if !f.hedgeBudget.withdraw() {
@@ -94,7 +117,7 @@
 			f.peers.fail(s.Member.Address, f.Now())
 			hedge(errStall)
 		})
-		r, err := t.get(ctx, s, query{wait: wait, inCycle: !cycleSince.IsZero(), seenHolders: seenHolders}, w)
+		r, err := t.get(ctx, s, query{wait: wait, inCycle: !cycleSince.IsZero(), seenHolders: seenHolders}, w, c)
 		w.stop()
 		state, from := r.state, r.chain
 		known = from
@@ -125,7 +148,7 @@
 			if cycleSince.IsZero() {
 				cycleSince = f.Now()
 			}
-			if cycle.elect(d) == f.Self.Instance || f.Now().Sub(cycleSince) >= f.Stall+2*time.Duration(len(cycle))*wait {
+			if cycle.elect(d) == f.Self.Instance || f.Now().Sub(cycleSince) >= f.Stall+2*time.Duration(len(cycle))*hold {
 				t.markCycle(cycle)
 				return errCycle
 			}
@@ -134,7 +157,12 @@
 			hedged = true
 			hedge(errSlowSource)
 		}
-		if state == chunkBusy {
+		switch {
+		case c.narrow:
+			if err := sleep(ctx, time.Duration((0.5+f.Rand()/2)*float64(f.Poll))); err != nil {
+				return err
+			}
+		case state == chunkBusy:
 			if err := sleep(ctx, time.Duration(f.Rand()*float64(20*time.Millisecond))); err != nil {
 				return err
 			}
@@ -152,7 +180,11 @@
 		}
 		ctx, cancel := context.WithCancelCause(ctx)
 		w := newWatchdog(t.f.Stall, t.f.Stall, cancel, func() { cancel(errStall) })
-		r, err := t.get(ctx, Source{Member: m, Level: l}, query{seenHolders: -1}, w)
+		var r reply
+		c, err := t.claim(ctx)
+		if err == nil {
+			r, err = t.get(ctx, Source{Member: m, Level: l}, query{seenHolders: -1}, w, c)
+		}
 		w.stop()
 		stalled := errors.Is(context.Cause(ctx), errStall)
 		cancel(nil)
@@ -204,7 +236,8 @@
 }
 
 // get sends one request to a peer.
-func (t *task) get(ctx context.Context, s Source, p query, w *watchdog) (reply, error) {
+func (t *task) get(ctx context.Context, s Source, p query, w *watchdog, c *claim) (_ reply, err error) {
+	defer func() { c.end(err != nil) }()
 	f := t.f
 	d := t.chunks[t.chunk]
 	url := f.Scheme + "://" + s.Member.Address.String() + t.urlPath + d.String() + p.String()
@@ -222,7 +255,7 @@
 	defer func() { _ = r.Body.Close() }()
 	switch r.StatusCode {
 	case http.StatusOK:
-		return reply{}, t.receive(s, r.Body, r.ContentLength, w)
+		return reply{}, t.receive(s, r.Body, r.ContentLength, w, c)
 	case http.StatusNotFound, http.StatusServiceUnavailable:
 		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, 4<<10))
 		a := reply{state: r.Header.Get(headerChunk), chain: parseWaitChain(r.Header.Get(headerSource))}
@@ -263,11 +296,13 @@
 	f.Store.setWaitChain(d, nil)
 	w := newWatchdog(f.Stall, f.Stall, cancel, func() { hedge(errStall) })
 	defer w.stop()
+	c := f.Link.originClaim(t.sizes[t.chunk])
 	body, size, err := f.Origin.Fetch(ctx, d)
 	if err == nil {
 		defer func() { _ = body.Close() }()
-		err = t.receive(Source{Level: FromOrigin}, body, size, w)
+		err = t.receive(Source{Level: FromOrigin}, body, size, w, c)
 	}
+	c.end(err != nil)
 	if err == nil {
 		f.originBackoff.succeed()
 		return nil
@@ -283,8 +318,9 @@
 }
 
 // receive reads a body into a buffer, verifies it and hands the buffer to the store.
-func (t *task) receive(s Source, body io.Reader, size int64, w *watchdog) error {
+func (t *task) receive(s Source, body io.Reader, size int64, w *watchdog, c *claim) error {
 	f := t.f
+	c.begin()
 	t.receiving.Add(1)
 	defer t.receiving.Add(-1)
 	d, want := t.chunks[t.chunk], t.sizes[t.chunk]
@@ -294,6 +330,7 @@
 	in := countingReader{body, func(n int) {
 		f.received[s.Level].Add(int64(n))
 		w.progress(n)
+		c.arrive(n)
 	}}
 	var b []byte
 	var err error
--- a/distributor/fetcher.go
+++ b/distributor/fetcher.go
@@ -89,6 +89,8 @@
 	// LateDelay is how long a chunk that no source sends counts against the limits of
 	// chunks in flight; the default is 4 s. Later it is waited for beside them.
 	LateDelay time.Duration
+	// Link bounds the bytes that were asked for; nil means no bound.
+	Link *Link
 	// MaxBackoff limits the delay after all sources failed and the delay between
 	// origin reads; the default is 5 s. The origin may ask for a longer one.
 	MaxBackoff time.Duration
@@ -124,6 +126,9 @@
 		setDefault(&f.HedgeDelay, defaultHedgeDelay)
 		setDefault(&f.LateDelay, defaultLateDelay)
 		setDefault(&f.MaxBackoff, defaultMaxBackoff)
+		if f.Link == nil {
+			f.Link = new(Link)
+		}
 		if f.Now == nil {
 			f.Now = time.Now
 		}
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -69,6 +69,9 @@
 	maxSentChunks = 2
 	// maxIdlePeerChunks is the same as maxPeerChunks while the engine serves nothing.
 	maxIdlePeerChunks = 6
+	// maxChunkDelay is the time that the chunks asked for may take to arrive; shorter than
+	// the aims of most routes.
+	maxChunkDelay = 250 * time.Millisecond
 	// maxOriginReads limits the concurrent reads of one agent from the origin.
 	maxOriginReads = 2
 	// digestPeers is the number of members of the failure domain that are asked for
@@ -108,6 +111,7 @@
 	follower *follower
 	origin   *http.Client
 	chunks   *distributor.Store
+	link     *distributor.Link
 	loader   *loader.Loader
 	reports  *reportSender
 	monitor  timekeeper.Monitor
@@ -157,6 +161,7 @@
 	a.follower.earliest = a.monitor.Earliest
 	a.origin = newOriginClient()
 	a.chunks = &distributor.Store{}
+	a.link = &distributor.Link{Bound: maxChunkDelay}
 	s, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(a.Peers.Addr(), 0)))
 	if err != nil {
 		return errors.Wrap(err, "open UDP socket for reports")
@@ -212,6 +217,7 @@
 		Self: a.self(), OriginRegion: recorder.Name(a.Regions[domain]), Store: a.chunks, Origin: o,
 		Client: distributor.NewClient(nil), Members: a.members, OriginParallel: maxOriginReads,
 		CrossRegionRate: a.RegionLink / bitsPerByte * regionShare,
+		Link:            a.link,
 		Parallel:        maxPeerChunks, LeadParallel: maxLeadChunks,
 		IdleParallel: maxIdlePeerChunks, IsIdle: func() bool { return a.liveLoad() == 0 },
 		Wait: chunkWait, Poll: chunkPoll, Stall: chunkStall, HedgeDelay: chunkPatience, LateDelay: chunkLate, MaxBackoff: chunkBackoff, Log: a.Log,
