dispatcher: use the delay that agents report for their links

Cause: a gateway without a recent delay of its own at an engine assumes that a request begins there at once, also if bytes wait in the link to it.

Change: reports have link-delay, the time until the chunks that the agent asked for have arrived; a report without it means none. The dispatcher adds it to the time in which a request begins, and takes endpoints with 0.5 s or more as the last resort.

--- a/dispatcher/begin.go
+++ b/dispatcher/begin.go
@@ -92,8 +92,8 @@
 }
 
 // mayBegin reports whether a request that is sent to the endpoint now begins before the
-// endpoint's version may no longer be used, going by the recent delays there. The delays
-// of a loaded engine also come from the prompts of other gateways that it has accepted
+// endpoint's version may no longer be used, going by the recent delays there and the delay
+// in the link of its instance. The delays of a loaded engine also come from the prompts of other gateways that it has accepted
 // and not read, which its report doesn't show.
 func (d *Dispatcher) mayBegin(p *pool, n *node, now time.Time) bool {
 	v := n.version(p.model, now)
@@ -102,7 +102,7 @@
 	}
 	for _, t := range p.named {
 		if t.version > v {
-			wait := time.Duration(beginFactor * float64(n.begins.max(now)))
+			wait := time.Duration(beginFactor*float64(n.begins.max(now))) + n.linkDelay(now)
 			return t.due.IsZero() || now.Add(wait).Before(t.due)
 		}
 	}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -17,6 +17,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
+	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
 )
 
@@ -132,25 +133,27 @@
 	return ""
 }
 
-// report ID VERSION LOAD [closed] [queued=N] [started=N]
+// report ID VERSION LOAD [closed] [queued=N] [started=N] [link=MS]
 func (w *harness) report(f []string) {
 	port, _ := strconv.Atoi(f[1][1:])
 	v, _ := strconv.ParseInt(f[2], 10, 64)
 	load, _ := strconv.Atoi(f[3])
-	queued, started := 0, time.Time{}
+	queued, link, started := 0, 0, time.Time{}
 	for _, a := range f[4:] {
 		k, v, _ := strings.Cut(a, "=")
 		n, _ := strconv.Atoi(v)
 		switch k {
 		case "queued":
 			queued = n
+		case "link":
+			link = n
 		case "started":
 			started = time.Unix(int64(n), 0)
 		}
 	}
 	w.d.Report(dispatcher.Report{
 		Started: started, Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(port)),
-		Versions: map[string]int64{"m": v}, Load: load, Queued: queued, Closed: slices.Contains(f, "closed"),
+		Versions: map[string]int64{"m": v}, Load: load, Queued: queued, LinkDelay: recorder.Duration(time.Duration(link) * time.Millisecond), Closed: slices.Contains(f, "closed"),
 	})
 }
 
--- /dev/null
+++ b/dispatcher/link.go
@@ -0,0 +1,16 @@
+package dispatcher
+
+import "time"
+
+// slowLink is the delay in the link of an instance from which its endpoint is the last
+// resort. It exceeds the aims of most routes.
+const slowLink = 500 * time.Millisecond
+
+// linkDelay returns how long a request waits in the link of the endpoint's instance; 0 if
+// that isn't known.
+func (n *node) linkDelay(now time.Time) time.Duration {
+	if now.Sub(n.reportedAt) > reportMaxAge {
+		return 0
+	}
+	return max(0, time.Duration(n.report.LinkDelay))
+}
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
+	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 )
 
 // Times of a node.
@@ -53,6 +54,8 @@
 	Load int `json:"load"`
 	// Queued is the number of these that the endpoint hasn't begun.
 	Queued int `json:"queued,omitempty"`
+	// LinkDelay is how long bytes to the endpoint wait in the link of its instance now.
+	LinkDelay recorder.Duration `json:"link-delay,omitempty"`
 }
 
 // node is an endpoint as this gateway sees it. The dispatcher's lock guards it.
--- a/dispatcher/subset.go
+++ b/dispatcher/subset.go
@@ -32,8 +32,8 @@
 	preferredTier tier = iota
 	// spillTier holds all others; they get requests only while they have little to do.
 	spillTier
-	// suspectTier holds endpoints that may be lost or don't begin what they have. They are
-	// used if there are no others.
+	// suspectTier holds endpoints that may be lost, don't begin what they have or are behind
+	// a slow link. They are used if there are no others.
 	suspectTier
 )
 
@@ -110,7 +110,7 @@
 // tier returns the tier of an endpoint.
 func (p *pool) tier(n *node, now time.Time) tier {
 	switch {
-	case n.isSuspect(now) || p.isStalled(n, now):
+	case n.isSuspect(now) || p.isStalled(n, now) || n.linkDelay(now) >= slowLink:
 		return suspectTier
 	case n.preferred:
 		return preferredTier
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -170,7 +170,7 @@
 	replica := a.Platform.Replica(a.Engine, a.follower.client)
 	a.loader = &loader.Loader{
 		Service: a.Service, Domain: a.Domain, Address: a.Engine, Link: a.Link / bitsPerByte, MaxVersionDelay: a.MaxVersionDelay, State: a.follower.state, Replica: replica,
-		Reporter:   &loader.Reporter{Replica: replica, Address: a.Engine, Send: a.reports.send, Log: a.Log},
+		Reporter:   &loader.Reporter{Replica: replica, Address: a.Engine, Send: a.reports.send, LinkDelay: a.link.Delay, Log: a.Log},
 		Digests:    a.digests,
 		Learned:    a.keepDigests,
 		Pieces:     func(o netip.AddrPort) *connector.Pieces { return a.Platform.Pieces(o, a.origin) },
--- a/loader/reporter.go
+++ b/loader/reporter.go
@@ -11,6 +11,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
+	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 )
 
 const (
@@ -28,7 +29,9 @@
 	Address netip.AddrPort
 	// Send sends a report to all gateways.
 	Send func(dispatcher.Report)
-	Log  zerolog.Logger
+	// LinkDelay returns how long bytes wait in the link of the instance; nil stands for 0.
+	LinkDelay func() time.Duration
+	Log       zerolog.Logger
 
 	mu     sync.Mutex
 	last   connector.ReplicaReport
@@ -63,9 +66,13 @@
 		r.Log.Info().Time("started", s.Started).Interface("versions", s.Versions).Msg("engine-found")
 	}
 	r.last, r.known = s, true
+	var d time.Duration
+	if r.LinkDelay != nil {
+		d = r.LinkDelay().Truncate(time.Millisecond)
+	}
 	r.Send(dispatcher.Report{
 		Address: r.Address, Started: s.Started, Versions: s.Versions,
-		Closed: r.closed || s.Loading, Load: s.Active + s.Queued, Queued: s.Queued,
+		Closed: r.closed || s.Loading, Load: s.Active + s.Queued, Queued: s.Queued, LinkDelay: recorder.Duration(d),
 	})
 }
 
