--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
+	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 )
 
 // Times of a node.
@@ -55,6 +56,8 @@
 	Queued int `json:"queued,omitempty"`
 	// Leaving is set once the endpoint has said that it is about to end.
 	Leaving bool `json:"leaving,omitempty"`
+	// LinkDelay is how long bytes to the endpoint wait in the link of its instance now.
+	LinkDelay recorder.Duration `json:"link-delay,omitempty"`
 }
 
 // node is an endpoint as this gateway sees it. The dispatcher's lock guards it.
