--- a/observer/shared_test.go
+++ b/observer/shared_test.go
@@ -108,6 +108,64 @@
 	}
 }
 
+// A gateway whose table is up to date must date a version as its reader did, or not after its
+// last confirmation if the reader doesn't know: a reader that had been paused sent versions
+// late, and they were dated by their arrival.
+func TestDateFromLateReader(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		written   time.Duration
+		low, high time.Duration
+	}{
+		{"known date", 200 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond},
+		{"unknown date", 0, 600 * time.Millisecond, 900 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			reads := 0
+			f := &observer.Follower{
+				Sources: []observer.Source{{Name: "platform", Read: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
+					if reads++; reads > 1 {
+						time.Sleep(600 * time.Millisecond)
+					}
+					n := items(uint64(reads))
+					n.Age, n.Written = time.Millisecond, c.written
+					return n, nil
+				}}},
+				Earliest: func(time.Time) time.Time { return timekeeper.Now() },
+			}
+			u := readSecond(t, f)
+			if d := timekeeper.Now().Sub(u.After); d < c.low || d > c.high {
+				t.Errorf("dated %s ago, want %s to %s", d, c.low, c.high)
+			}
+		})
+	}
+}
+
+// A version that was named while a gateway waited for a frozen reader must not be dated by the
+// response of the platform, which was asked only after that.
+func TestDateAfterFrozenReader(t *testing.T) {
+	reads := 0
+	r := &observer.SharedReader{
+		IsShared: func() bool { return true }, IsReader: func() bool { return false },
+		Platform: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
+			reads++
+			return items(uint64(reads)), nil
+		},
+		Readers: func(ctx context.Context, _ uint64, _ time.Duration) (connector.Changes, error) {
+			<-ctx.Done()
+			return connector.Changes{}, ctx.Err()
+		},
+	}
+	f := &observer.Follower{
+		Sources: []observer.Source{{Name: "platform", Read: r.Read}}, WaitFunc: r.MaxWait, PaceFunc: r.Pace,
+		Earliest: func(time.Time) time.Time { return timekeeper.Now() },
+	}
+	u := readSecond(t, f)
+	if d := timekeeper.Now().Sub(u.After); d < 800*time.Millisecond {
+		t.Errorf("dated %s ago, want the 800 ms of the failed read", d)
+	}
+}
+
 // A gateway that reads a version from a reader must date it as the reader did, also when
 // the reader learned of it late.
 func TestDateFromReader(t *testing.T) {
