timekeeper: don't hide a long pause behind a short one

Cause: after a pause of 1 s or more a gateway waits for the endpoint list, but only the last pause was known. A process that catches up after a long pause is often late by 0.3 s once more, and that short pause ended the wait.

By the users' rules a machine that stood still is excused for 3 s, so the list from before the pause breaks DRAIN only where the list stays old for longer.

Change: Monitor keeps the end of the last long pause by itself. TestLongPauseEnd replaces TestLastPause: the length that this compared is now checked by a pause just below the limit, which must not count.

Evidence: with the old state (each pause replaces the last) TestLongPauseEnd says "after a short pause: until 0001-01-01 00:00:00 +0000 UTC".

--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -145,7 +145,7 @@
 	g.callers.Most = most
 	g.follower = newFollower(g.Platform, g.Store, g.Peers, g.Domain, g.Regions, g.Log)
 	g.follower.drain, g.follower.seeds = g.Drain, g.Seeds
-	g.monitor.Limit = maxBeatInterval
+	g.monitor.Limit, g.monitor.Long = maxBeatInterval, minListPause
 	g.follower.earliest = g.monitor.Earliest
 	g.dispatcher = &dispatcher.Dispatcher{
 		Name: g.Name, Domain: g.Domain, Region: g.Region, Cold: g.Cold, State: g.follower.state,
@@ -160,12 +160,12 @@
 	return nil
 }
 
-// isCurrent reports whether the endpoint list was read since the last pause of the
+// isCurrent reports whether the endpoint list was read since the last long pause of the
 // process. In the pause endpoints may have left, and others may use their addresses. If
 // nothing can be read, the old list is used after maxListWait.
 func (g *Gateway) isCurrent() bool {
-	end, length := g.monitor.LastPause()
-	return length < minListPause || timekeeper.Now().Sub(end) > maxListWait || g.follower.endpoints.Confirmed().After(end)
+	end := g.monitor.LongPauseEnd()
+	return timekeeper.Now().Sub(end) > maxListWait || g.follower.endpoints.Confirmed().After(end)
 }
 
 // retryBurst returns this gateway's part of RetryExtra.
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -28,6 +28,8 @@
 type Monitor struct {
 	// Limit is the longest time between two calls of Beat that isn't a pause.
 	Limit time.Duration
+	// Long is the length from which LongPauseEnd tells of a pause.
+	Long time.Duration
 	// Now returns the current time; nil means Now of this package.
 	Now func() time.Time
 
@@ -37,8 +39,8 @@
 	// pauseStart and pauseEnd are the last pause, together with the pauses that ended
 	// less than mergeTime before it.
 	pauseStart, pauseEnd time.Time
-	// pauseLength is the length of the last pause alone.
-	pauseLength time.Duration
+	// longEnd is the end of the last pause that was long by itself.
+	longEnd time.Time
 }
 
 // mergeTime is the time between two pauses below which they count as one. It exceeds
@@ -67,7 +69,10 @@
 	if m.last.Sub(m.pauseEnd) > mergeTime {
 		m.pauseStart = m.last
 	}
-	m.pauseEnd, m.pauseLength = now, now.Sub(m.last)
+	m.pauseEnd = now
+	if now.Sub(m.last) >= m.Long {
+		m.longEnd = now
+	}
 }
 
 // update records a pause that ends with this call, before the first Beat after it, and
@@ -81,13 +86,13 @@
 	return now
 }
 
-// LastPause returns the end and the length of the last pause; the zero time if there was
-// none.
-func (m *Monitor) LastPause() (end time.Time, length time.Duration) {
+// LongPauseEnd returns the end of the last pause of at least Long; the zero time if there
+// was none. Shorter pauses often follow a long one, as the process has work to catch up.
+func (m *Monitor) LongPauseEnd() time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.update()
-	return m.pauseEnd, m.pauseLength
+	return m.longEnd
 }
 
 // Earliest returns the earliest time of an event that the process began to wait for at
--- a/internal/timekeeper/timekeeper_test.go
+++ b/internal/timekeeper/timekeeper_test.go
@@ -50,21 +50,30 @@
 	}
 }
 
-// A pause must be known to the first goroutine that runs after it, before the next beat.
-func TestLastPause(t *testing.T) {
+// A long pause must be known to the first goroutine that runs after it, before the next beat,
+// and must not be hidden by a short one that follows, as while the process catches up.
+func TestLongPauseEnd(t *testing.T) {
 	now := time.Unix(1000, 0)
-	m := &timekeeper.Monitor{Limit: 200 * time.Millisecond, Now: func() time.Time { return now }}
+	m := &timekeeper.Monitor{Limit: 200 * time.Millisecond, Long: 4 * time.Second, Now: func() time.Time { return now }}
 	m.Beat()
-	if end, _ := m.LastPause(); !end.IsZero() {
+	if end := m.LongPauseEnd(); !end.IsZero() {
 		t.Errorf("a pause until %s without one", end)
 	}
+	now = now.Add(4*time.Second - 1)
+	if end := m.LongPauseEnd(); !end.IsZero() {
+		t.Errorf("a short pause counts as a long one until %s", end)
+	}
 	now = now.Add(4 * time.Second)
 	woke := now
 	for range 3 {
-		if end, length := m.LastPause(); !end.Equal(woke) || length != 4*time.Second {
-			t.Errorf("pause of %s until %s, want of 4 s until %s", length, end, woke)
+		if end := m.LongPauseEnd(); !end.Equal(woke) {
+			t.Errorf("pause until %s, want until %s", end, woke)
 		}
 		m.Beat()
 		now = now.Add(100 * time.Millisecond)
 	}
+	now = now.Add(300 * time.Millisecond)
+	if end := m.LongPauseEnd(); !end.Equal(woke) {
+		t.Errorf("after a short pause: until %s, want until %s", end, woke)
+	}
 }
