direct: take no list read in a pause for current

Cause: after a pause of 1 s or more a gateway waits for an endpoint list that was confirmed after it. The response to a read that began before the pause is read after it and counted as confirmed then. In a failure domain of 8 gateways or more a gateway waits for its reader most of the time, so the wait ended with the list from before the pause.

Change: the list has the same estimate of arrivals as the operator table, the start of the pause.

Evidence: TestListReadInPauseIsNotCurrent said before "the list is current: [true true true], want not for the read in the pause, and then".

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -182,6 +182,7 @@
 	list := &observer.Follower{
 		Name: endpointTable, Table: &f.endpoints, Sources: f.sources(endpointTable, f.tables.Endpoints, agent),
 		Pace: agentListInterval, Wake: f.outdated, Log: f.log, Reconnect: f.reconnect(f.tables.Endpoints), Failed: f.state.ListFailed,
+		Earliest: f.earliest,
 		Changed: func(u observer.Update) {
 			f.state.ApplyEndpoints(u.Fresh, u.First)
 			f.notify(len(u.Fresh) > 0)
--- /dev/null
+++ b/internal/direct/list_pause_test.go
@@ -0,0 +1,64 @@
+package direct
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/observer"
+)
+
+// A list whose read began before a pause isn't current after it, though its response is read
+// then: a gateway of a large failure domain nearly always waits for one.
+func TestListReadInPauseIsNotCurrent(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	var g *Gateway
+	reads := 0
+	list := func(ctx context.Context, _ uint64, _ time.Duration) (connector.Changes, error) {
+		if reads++; reads == 2 {
+			time.Sleep(minListPause + 200*time.Millisecond)
+			g.monitor.Beat()
+		}
+		o := uint64(reads)
+		return connector.Changes{Items: []connector.Item{{Key: "e", Value: []byte("{}"), Offset: o}}, Next: o + 1}, ctx.Err()
+	}
+	none := func(ctx context.Context, _ uint64, _ time.Duration) (connector.Changes, error) {
+		<-ctx.Done()
+		return connector.Changes{}, ctx.Err()
+	}
+	p := &Platform{
+		Tables: func(netip.AddrPort, *http.Client) Tables {
+			return Tables{
+				Operators: &connector.Table{Read: none, Reconnect: func() {}}, Gateways: &connector.Table{Read: none, Reconnect: func() {}},
+				Endpoints: &connector.Table{Read: list, Reconnect: func() {}},
+			}
+		},
+		EndpointDecoder: func(map[string]string) func(string, []byte) (*observer.Endpoint, error) {
+			return func(string, []byte) (*observer.Endpoint, error) { return nil, errors.New("no endpoint") }
+		},
+	}
+	g = &Gateway{Platform: p, Drain: 300 * time.Millisecond, Descriptors: 100, Log: zerolog.Nop()}
+	if err := g.build(); err != nil {
+		t.Fatal(err)
+	}
+	g.monitor.Beat()
+	var current []bool
+	g.follower.changed = func() {
+		if current = append(current, g.isCurrent()); reads == 3 {
+			cancel()
+		}
+	}
+	if err := g.follower.run(ctx, false); err != nil {
+		t.Fatal(err)
+	}
+	if len(current) < 3 || current[1] || !current[2] {
+		t.Errorf("the list is current: %t, want not for the read in the pause, and then", current)
+	}
+}
