--- a/internal/direct/list_pause_test.go
+++ b/internal/direct/list_pause_test.go
@@ -21,13 +21,16 @@
 	defer cancel()
 	var g *Gateway
 	reads := 0
-	list := func(ctx context.Context, _ uint64, _ time.Duration) (connector.Changes, error) {
+	list := func(context.Context, uint64, time.Duration) (connector.Changes, error) {
 		if reads++; reads == 2 {
 			time.Sleep(minListPause + 200*time.Millisecond)
 			g.monitor.Beat()
 		}
+		if reads > 3 {
+			return connector.Changes{}, errors.New("there are three reads")
+		}
 		o := uint64(reads)
-		return connector.Changes{Items: []connector.Item{{Key: "e", Value: []byte("{}"), Offset: o}}, Next: o + 1}, ctx.Err()
+		return connector.Changes{Items: []connector.Item{{Key: "e", Value: []byte("{}"), Offset: o}}, Next: o + 1}, nil
 	}
 	none := func(ctx context.Context, _ uint64, _ time.Duration) (connector.Changes, error) {
 		<-ctx.Done()
