observer: take a refusal by the platform for an outage

Cause: since a failed read of the platform is an outage only if a peer responds after it. A gateway whose peers are all gone, for example one with stale seeds, left no outage out of its dates and gave up an older version early.

Change: a refused or reset connection and an error status show that the link works; the platform is out then. Only a timeout needs the word of a peer.

Evidence: with the guard off TestRecordWrittenWhileAllSourcesFail says for "platform refuses" "dated 1.879µs after the last good read, want 400ms to 1.1s". Its sources now fail by a timeout where its comment says so; before, they failed by any error.

--- a/observer/follower.go
+++ b/observer/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,9 +41,13 @@
 	failedRoundDelay = 150 * time.Millisecond
 )
 
-// errResponseTimeout marks the error of a read whose response was too slow, but did not
-// pause for too long.
-var errResponseTimeout = errors.New("the answer takes too long")
+var (
+	// errResponseTimeout marks the error of a read whose response was too slow, but did
+	// not pause for too long.
+	errResponseTimeout = errors.New("the answer takes too long")
+	// errNoResponse marks the error of a read that was ended by a timeout.
+	errNoResponse = errors.New("no response in time")
+)
 
 // Source is a source from which a table can be read.
 type Source struct {
@@ -187,19 +192,28 @@
 }
 
 // recordOutage records the result of a read that began at the given time. If the platform
-// failed, it is an outage once a peer responds, or if there is none.
+// failed, it is an outage if it did so by a response such as a refused connection; after
+// a timeout, it is one once a peer responds, or if there is no peer.
 func (f *Follower) recordOutage(s Source, err error, began time.Time) {
-	if err != nil && !s.Peers {
+	platformFailed := err != nil && !s.Peers
+	if platformFailed {
 		f.failure = f.noticed(began)
 	}
 	if f.failure.IsZero() {
 		return
 	}
-	if len(f.Sources) == 1 || s.Peers && (err == nil || errors.IsAny(err, errNoPeers, errNotReady)) {
+	peerResponded := s.Peers && (err == nil || errors.IsAny(err, errNoPeers, errNotReady))
+	if len(f.Sources) == 1 || platformFailed && !isTimeout(err) || peerResponded {
 		f.lastFailure, f.failure = f.failure, time.Time{}
 	}
 }
 
+// isTimeout reports whether the error of a read is that no response came in time.
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.Is(err, errNoResponse) || errors.As(err, &n) && n.Timeout()
+}
+
 // apply merges the result of a read that began at the given time into the table.
 func (f *Follower) apply(c connector.Changes, first bool, began time.Time) {
 	arrived := f.noticed(began)
@@ -260,11 +274,15 @@
 	c, err := s.Read(ctx, f.Table.Next(), wait)
 	switch {
 	case err == nil:
+		return c, nil
 	case errors.Is(whole.Err(), context.DeadlineExceeded):
 		err = errors.Mark(errors.Wrap(err, errResponseTimeout.Error()), errResponseTimeout)
 	case errors.Is(context.Cause(ctx), watcher.ErrIdleTimeout):
 		err = errors.Wrap(err, watcher.ErrIdleTimeout.Error())
 	}
+	if ctx.Err() != nil {
+		err = errors.Mark(err, errNoResponse)
+	}
 	return c, err
 }
 
--- a/observer/grace_test.go
+++ b/observer/grace_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -89,22 +92,33 @@
 	}
 }
 
-// Reads that fail at the platform and at the peers tell of a fault of the own process or its
-// link, such as a full link, which extends no grace period; only what peers confirm is an outage.
+// Reads that time out at the platform and at the peers tell of a fault of the own process or its
+// link, such as a full link, which extends no grace period; only what others confirm is an outage.
 func TestRecordWrittenWhileAllSourcesFail(t *testing.T) {
+	timeout := &net.OpError{Op: "read", Err: os.ErrDeadlineExceeded}
 	for _, c := range []struct {
-		name      string
-		peer      func() error
-		low, high time.Duration
+		name           string
+		platform, peer error
+		low, high      time.Duration
 	}{
-		{"peers fail", func() error { return errors.New("timeout") }, 0, 300 * time.Millisecond},
-		{"peers respond", func() error { return nil }, 400 * time.Millisecond, 1100 * time.Millisecond},
+		{"peers fail", timeout, timeout, 0, 300 * time.Millisecond},
+		{"peers respond", timeout, nil, 400 * time.Millisecond, 1100 * time.Millisecond},
+		{"platform refuses", syscall.ECONNREFUSED, timeout, 400 * time.Millisecond, 1100 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var last time.Time
+			platform := outage(&last, time.Second)
+			read := platform.Read
+			platform.Read = func(ctx context.Context, from uint64, wait time.Duration) (connector.Changes, error) {
+				v, err := read(ctx, from, wait)
+				if err != nil {
+					err = c.platform
+				}
+				return v, err
+			}
 			f := &observer.Follower{
-				Sources: []observer.Source{outage(&last, time.Second), {Name: "peers", Peers: true, Read: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
-					return connector.Changes{Next: 2, Age: timekeeper.Now().Sub(last)}, c.peer()
+				Sources: []observer.Source{platform, {Name: "peers", Peers: true, Read: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
+					return connector.Changes{Next: 2, Age: timekeeper.Now().Sub(last)}, c.peer
 				}}},
 				Earliest: func(time.Time) time.Time { return timekeeper.Now() },
 			}
