gateway: say "not run" of no call that may have run before

Cause: a call that may be repeated had an attempt that may have run; the next endpoint answered 400 or 409 with the outcome "not-run", which was passed on as the answer to the call.

Change: call.ran holds what serve kept to itself. Such an answer ends a call only if nothing may have run before; it also covers streams that have begun.

Test: TestAttempts, "model, drop, invalid 400" and "balance, fail, invalid 409"; before, the caller got 400 and 409 after ran=2, now 502 "failed".

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -171,9 +171,10 @@
 	if a.reason != limitReason && o != retrier.Unknown && !p.remote {
 		c.gateway.table.Avoid(p.name, time.Now().Add(avoidDuration))
 	}
-	if c.out == nil && (r.StatusCode == http.StatusConflict || r.StatusCode == http.StatusBadRequest) {
+	if !c.ran && (r.StatusCode == http.StatusConflict || r.StatusCode == http.StatusBadRequest) {
 		// The request is invalid, or the first call with its key is still running.
-		// Another endpoint would answer the same.
+		// Another endpoint would answer the same. After an attempt that may have run, the
+		// caller gets what is known of that one.
 		a.finished = true
 		c.writeResponse(r, b)
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -48,6 +48,8 @@
 	// tried and triedDomains are excluded from further picks.
 	tried, triedDomains []recorder.Name
 	tries               int
+	// ran reports whether an attempt may have run. It is set once a stream has begun.
+	ran bool
 	// limitRefusals counts the refusals by endpoints at their limit.
 	limitRefusals int
 	// out writes a stream to the caller; nil before the first attempt.
@@ -100,12 +102,11 @@
 	ctx, stop := context.WithDeadline(c.q.Context(), c.deadline)
 	defer stop()
 	g.budget.Offer()
-	ran := false
 	last := attemptResult{outcome: retrier.NotRun, reason: "no-endpoint"}
 	for {
 		p, err := c.pick(ctx)
 		if err != nil {
-			c.giveUp(ran, last, err)
+			c.giveUp(last, err)
 			return
 		}
 		c.tries++
@@ -116,7 +117,7 @@
 		if c.waitAfterLimitRefusal(ctx, last) {
 			continue
 		}
-		ran = ran || last.outcome != retrier.NotRun
+		c.ran = c.ran || last.outcome != retrier.NotRun
 		if p.remote {
 			c.triedDomains = append(c.triedDomains, p.name)
 		} else {
@@ -127,7 +128,7 @@
 			Stringer("outcome", last.outcome).Str("cause", last.reason).Bool("retry", d.Retry).Str("reason", d.Reason).
 			Msg("retry decision")
 		if !d.Retry {
-			c.giveUp(ran, last, nil)
+			c.giveUp(last, nil)
 			return
 		}
 	}
@@ -248,13 +249,13 @@
 
 // giveUp sends the final error response. Its outcome is "not-run" only if no
 // attempt may have run.
-func (c *call) giveUp(ran bool, last attemptResult, err error) {
+func (c *call) giveUp(last attemptResult, err error) {
 	p := problem.New(http.StatusServiceUnavailable, header.NotRun, last.detail)
 	p.RetryAfter = last.retryAfter
 	switch {
-	case ran && last.outcome == retrier.Unknown && !c.idempotent:
+	case c.ran && last.outcome == retrier.Unknown && !c.idempotent:
 		p = problem.New(http.StatusBadGateway, header.Unknown, last.detail)
-	case ran:
+	case c.ran:
 		p = problem.New(http.StatusBadGateway, header.Failed, last.detail)
 	case err != nil:
 		p.Detail = err.Error()
@@ -262,7 +263,7 @@
 			p.Detail += "; " + last.detail
 		}
 	}
-	if !time.Now().Before(c.deadline) && ran {
+	if !time.Now().Before(c.deadline) && c.ran {
 		p.Status, p.Title = http.StatusGatewayTimeout, http.StatusText(http.StatusGatewayTimeout)
 	}
 	reason := last.reason
