forwarder: take status 101 for no answer

Cause: an endpoint that answered 101 ended the interim answers, and the 101 was passed on as the caller's answer. No request asks for another protocol.

Change: the answer counts as malformed.

Test: TestHandler, group "No request asks for another protocol". Before: 101 to the caller of "once" and of "any", which was not tried again.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -170,9 +170,12 @@
 	defer a.conn.unlimitReads()
 	for {
 		r, err := http.ReadResponse(a.conn.r, &http.Request{Method: a.call.method})
-		if err != nil || r.StatusCode >= http.StatusOK || r.StatusCode == http.StatusSwitchingProtocols {
+		if err != nil || r.StatusCode >= http.StatusOK {
 			return r, err
 		}
+		if r.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("endpoint switched protocols without a request to do so")
+		}
 	}
 }
 
