dispatcher: suspect endpoints that are never reported

Cause: an entry of another writer may look sound. Nothing but the answers to requests told it from an endpoint, and a misdirected request, a refused connection or a 421, is forgotten within 3 s. Seen by callers: an attempt, and retry budget, for each request that is sent to such an entry, again and again while it is listed. Evidence: with the script alone, requests still went to the endpoint without reports after 8.1 s (e1:3 e2:2; e1:4 refused-full:1 is wanted). Change: an endpoint of which no report has come for 8 s after it was first seen is used only where there is no other, if others of its service are reported. A service without reports is not affected. Result: the script passes.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -167,7 +167,7 @@
 		}
 		n := p.nodes[id]
 		if n == nil || !n.Started.Equal(e.Started) || n.Address != e.Address {
-			n = &node{}
+			n = &node{listedAt: now}
 			if s != nil && d.listed {
 				n.coldUntil = now.Add(s.ColdTime)
 			}
@@ -202,6 +202,7 @@
 				n.begins.forget()
 			}
 			n.report, n.reportedAt, n.inFlightAtReport = r, d.now(), n.inFlight
+			p.reportedAt = n.reportedAt
 			n.noteConfirmed(r)
 		}
 		d.grant(p)
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -59,6 +59,8 @@
 type node struct {
 	observer.Endpoint
 
+	// listedAt is when this gateway first saw the entry of the process.
+	listedAt time.Time
 	// inFlight is the number of leases of this gateway.
 	inFlight int
 	// report is the last report; reportedAt is zero if there was none, and
--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -62,6 +62,8 @@
 	// heldAt is when a request last found no endpoint that may be used, and heldSince when
 	// that state began.
 	heldAt, heldSince time.Time
+	// reportedAt is when an endpoint was last reported.
+	reportedAt time.Time
 	// refusedAt is when a first request was last refused for lack of a slot.
 	refusedAt time.Time
 	// model is the model of the engines; empty for a service without engines.
--- a/dispatcher/subset.go
+++ b/dispatcher/subset.go
@@ -110,7 +110,7 @@
 // tier returns the tier of an endpoint.
 func (p *pool) tier(n *node, now time.Time) tier {
 	switch {
-	case n.isSuspect(now) || p.isStalled(n, now):
+	case n.isSuspect(now) || p.isUnreported(n, now) || p.isStalled(n, now):
 		return suspectTier
 	case n.preferred:
 		return preferredTier
