connector: refuse odd entries of the instance list one by one

Cause: the reply to a poll was decoded as a whole, so that one entry with an address that can't be parsed, or a field of another type, failed the poll. Seen by callers: a gateway with agents stopped following the list, as each later poll failed in the same way; it logged that at the level debug only. Evidence: without the change, TestOddInstance got no usable list for ports 65536 and -1, 1e400, a number as name and a list as entry ('poll instances: decode reply: invalid port "-1"'); entries without a name were listed. Change: each entry is decoded by itself. One that describes no instance is logged and refused, and the instance of its name is gone; the others hold. Open: an entry nested over 10000 levels still fails the reply, as encoding/json reads no value around it.

--- a/connector/instances.go
+++ b/connector/instances.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 )
 
@@ -48,6 +51,53 @@
 	// Full reports whether Instances is the whole list, not just the changes.
 	Full      bool       `json:"full"`
 	Instances []Instance `json:"instances"`
+	// Refused holds the errors of the entries that describe no instance. An instance whose
+	// name such an entry has is gone, in Instances.
+	Refused []error `json:"-"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler. An entry that describes no instance is refused
+// by itself, so that the others hold.
+func (l *InstanceList) UnmarshalJSON(b []byte) error {
+	var in struct {
+		Version   uint64            `json:"version"`
+		Full      bool              `json:"full"`
+		Instances []json.RawMessage `json:"instances"`
+	}
+	if err := json.Unmarshal(b, &in); err != nil {
+		return errors.WithStack(err)
+	}
+	*l = InstanceList{Version: in.Version, Full: in.Full}
+	for n, raw := range in.Instances {
+		i, err := decodeInstance(raw)
+		if err != nil {
+			l.Refused = append(l.Refused, errors.Wrapf(err, "entry %d, instance %.64q", n, string(i.Name)))
+		}
+		if i.Name != "" {
+			l.Instances = append(l.Instances, i)
+		}
+	}
+	return nil
+}
+
+// decodeInstance decodes an entry. With an error it returns an instance that is gone, whose
+// name is empty if the entry has none.
+func decodeInstance(raw json.RawMessage) (Instance, error) {
+	var i Instance
+	err := json.Unmarshal(raw, &i)
+	if err == nil {
+		err = i.Name.Check()
+	}
+	if err == nil {
+		return i, nil
+	}
+	var named struct {
+		Name recorder.Name `json:"name"`
+	}
+	if json.Unmarshal(raw, &named) != nil || named.Name.Check() != nil {
+		named.Name = ""
+	}
+	return Instance{Name: named.Name, State: InstanceGone}, err
 }
 
 // Instances is a client of the platform's list of instances. The list may be out
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -131,6 +132,9 @@
 			continue
 		}
 		if n.Version != since || n.Full {
+			for _, err := range n.Refused {
+				g.Log.Warn().Str("failure", fmt.Sprintf("%.200s", err.Error())).Msg("instance entry refused")
+			}
 			g.list.apply(n)
 			g.membersChanged.Fire()
 		}
