connector: bound the time that a response asks to wait

Cause: Retry-After was converted to a duration without a bound. Beyond 64 bits the result depends on the processor. Seen by callers: an origin that answers 1e300 is not asked again by that instance; on x86-64 it is asked at once. Change: at most a minute; numbers not above 0 ask for no wait.

--- a/connector/http.go
+++ b/connector/http.go
@@ -18,6 +18,9 @@
 // maxReplyBytes limits the body of a platform response other than weights.
 const maxReplyBytes = 96 << 20
 
+// maxRetryAfter bounds the time that a response may ask to wait.
+const maxRetryAfter = time.Minute
+
 // apiClient sends requests to one platform service.
 type apiClient struct {
 	base   string
@@ -63,8 +66,9 @@
 
 func statusError(op string, r *http.Response) error {
 	e := &Error{Op: op, Kind: statusKind(r.StatusCode)}
-	if n, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64); err == nil {
-		e.RetryAfter = time.Duration(n * float64(time.Second))
+	// NaN is not above 0.
+	if n, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64); err == nil && n > 0 {
+		e.RetryAfter = time.Duration(min(n, maxRetryAfter.Seconds()) * float64(time.Second))
 	}
 	b, _ := io.ReadAll(io.LimitReader(r.Body, 4<<10))
 	var v struct {
