header: keep large deadlines from overflowing

Cause: the number of milliseconds was multiplied before it was bounded. Seen by callers: a deadline of over 292 years had passed at once, and a negative one of that size was the limit away. Evidence: without the change, TestRemaining fails for all three such numbers. Change: numbers beyond the limit count as the limit. Result: the test passes.

--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -61,10 +61,10 @@
 // limit. Without a valid header it returns limit.
 func Remaining(h http.Header, limit time.Duration) time.Duration {
 	n, err := strconv.ParseInt(h.Get(DeadlineMS), 10, 64)
-	if err != nil {
+	if err != nil || n > limit.Milliseconds() {
 		return limit
 	}
-	return min(time.Duration(n)*time.Millisecond, limit)
+	return time.Duration(max(n, -limit.Milliseconds())) * time.Millisecond
 }
 
 // SetRetryAfter sets Retry-After to d, rounded up to whole seconds and at least one.
--- a/internal/header/header_test.go
+++ b/internal/header/header_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 )
@@ -48,3 +49,18 @@
 		t.Fatalf("the call ran %d times", n)
 	}
 }
+
+// A deadline beyond the limit must count as the limit, also if it overflows a duration: it had
+// passed at once, or, if negative, was hours away.
+func TestRemaining(t *testing.T) {
+	for v, want := range map[string]time.Duration{
+		"": time.Minute, "x": time.Minute, "1500": 1500 * time.Millisecond, "60001": time.Minute, "-1": -time.Millisecond,
+		"9223372036854775807": time.Minute, "9223372036855": time.Minute, "-9223372036855": -time.Minute,
+	} {
+		h := http.Header{}
+		h.Set(header.DeadlineMS, v)
+		if d := header.Remaining(h, time.Minute); d != want {
+			t.Errorf("%q: %s, want %s", v, d, want)
+		}
+	}
+}
