--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -176,7 +176,7 @@
 		}
 		n := p.nodes[id]
 		if n == nil || !n.Started.Equal(e.Started) || n.Address != e.Address {
-			n = &node{}
+			n = &node{listedAt: now}
 			if s != nil && d.listed {
 				n.coldUntil = now.Add(s.ColdTime)
 			}
@@ -211,6 +211,7 @@
 				n.begins.forget()
 			}
 			n.report, n.reportedAt, n.inFlightAtReport = r, d.now(), n.inFlight
+			p.reportedAt = n.reportedAt
 			n.noteConfirmed(r)
 			if r.Leaving {
 				d.note(p, n, Notice{Leaving: true}, FromReport)
