dispatcher: assume a delay where none is remembered

Cause: an engine to which this gateway has sent nothing for 2 s counted as one that begins at once, so near the end of an older version's time a request went there also if its link or its prompts took longer than the 0.8 s left. Seen by callers: VERSION, from gateways that had just found such an engine.

Change: 1 s is assumed there, so such an engine is used 0.2 s less in each 8 s; a delay that is remembered counts as before.

Evidence: the first script sent a request 0.9 s before the older version was due to an engine without a remembered delay; it is refused now.

--- a/dispatcher/begin.go
+++ b/dispatcher/begin.go
@@ -12,6 +12,10 @@
 	// beginFactor is the assumed upper bound of the ratio of the delay of a request to
 	// the largest recent one. Under overload the delays grow from request to request.
 	beginFactor = 1.5
+	// unknownBegin is the least delay that is assumed where none is remembered. It exceeds
+	// the time between the last use of an older version and the end of its time, but only
+	// by a little, as requests may find no other engine then.
+	unknownBegin = time.Second
 	// minStall is the time without a first token after which an engine counts as stalled,
 	// and stallFactor the least ratio of that time to the usual one of the service.
 	minStall    = time.Second
@@ -69,6 +73,16 @@
 	return d
 }
 
+// expected returns the assumed upper bound of the delay of the next request, which waits
+// in the link of the engine's instance as well.
+func (b *beginDelays) expected(now time.Time, link time.Duration) time.Duration {
+	d := time.Duration(beginFactor*float64(b.max(now))) + link
+	if len(b.recent) == 0 {
+		return max(d, unknownBegin)
+	}
+	return d
+}
+
 // forget drops the measured delays of an engine that loaded another version. Requests
 // that waited for the load say nothing about the time after it.
 func (b *beginDelays) forget() { b.recent = b.recent[:0] }
@@ -102,7 +116,7 @@
 	}
 	for _, t := range p.named {
 		if t.version > v {
-			wait := time.Duration(beginFactor*float64(n.begins.max(now))) + n.linkDelay(now)
+			wait := n.begins.expected(now, n.linkDelay(now))
 			return t.due.IsZero() || now.Add(wait).Before(t.due)
 		}
 	}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -118,6 +118,8 @@
 	case "sleep":
 		d, _ := time.ParseDuration(f[1])
 		w.now = w.now.Add(d)
+	case "grace":
+		w.d.Grace, _ = time.ParseDuration(f[1])
 	case "report":
 		w.report(f)
 	case "send":
