direct: wait for the applied list after a pause

Cause: after a pause requests wait for the endpoint list to be read anew, but the time of the read was taken from the table, which has the new entries before the state and the dispatcher have them. Seen by callers: a gateway that had been paused for 1.7 s sent two requests to an endpoint 2.11 s after it had begun to drain; its log has the entry 2 ms later. Evidence: TestListAppliedAfterPause fails without the change. Change: the time counts once the list is applied.

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -72,7 +73,9 @@
 	log      zerolog.Logger
 
 	operators, endpoints, gateways observer.Table
-	outline                        *observer.View
+	// listApplied is the time of Confirmed of the endpoint table as last applied.
+	listApplied atomic.Pointer[time.Time]
+	outline     *observer.View
 }
 
 func newFollower(p *Platform, store, self netip.AddrPort, domain string, regions map[string]string, log zerolog.Logger) *follower {
@@ -182,10 +185,7 @@
 	list := &observer.Follower{
 		Name: endpointTable, Table: &f.endpoints, Sources: f.sources(endpointTable, f.tables.Endpoints, agent),
 		Pace: agentListInterval, Wake: f.outdated, Log: f.log, Reconnect: f.reconnect(f.tables.Endpoints), Failed: f.state.ListFailed,
-		Changed: func(u observer.Update) {
-			f.state.ApplyEndpoints(u.Fresh, u.First)
-			f.notify(len(u.Fresh) > 0)
-		},
+		Changed: f.applyList,
 	}
 	operators := &observer.Follower{
 		Name: operatorTable, Table: &f.operators, Sources: f.sources(operatorTable, f.tables.Operators, agent),
@@ -226,6 +226,23 @@
 	}
 }
 
+// applyList applies the changes of the endpoint list.
+func (f *follower) applyList(u observer.Update) {
+	at := f.endpoints.Confirmed()
+	f.state.ApplyEndpoints(u.Fresh, u.First)
+	f.notify(len(u.Fresh) > 0)
+	f.listApplied.Store(&at)
+}
+
+// listInUse returns when the platform confirmed the endpoint list that requests go by, on the
+// clock of package timekeeper. The table itself is newer while it is being applied.
+func (f *follower) listInUse() time.Time {
+	if at := f.listApplied.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // listOutdated makes the follower read the endpoint list soon.
 func (f *follower) listOutdated() {
 	select {
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -165,7 +165,7 @@
 // nothing can be read, the old list is used after maxListWait.
 func (g *Gateway) isCurrent() bool {
 	end, length := g.monitor.LastPause()
-	return length < minListPause || timekeeper.Now().Sub(end) > maxListWait || g.follower.endpoints.Confirmed().After(end)
+	return length < minListPause || timekeeper.Now().Sub(end) > maxListWait || g.follower.listInUse().After(end)
 }
 
 // retryBurst returns this gateway's part of RetryExtra.
