--- a/internal/direct/list_pause_test.go
+++ b/internal/direct/list_pause_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 )
 
@@ -21,12 +22,18 @@
 	defer cancel()
 	var g *Gateway
 	reads := 0
+	// current tells for each read whether its list is current once it is applied.
+	var current []bool
 	list := func(context.Context, uint64, time.Duration) (connector.Changes, error) {
+		if reads > 0 {
+			current = append(current, g.isCurrent())
+		}
 		if reads++; reads == 2 {
 			time.Sleep(minListPause + 200*time.Millisecond)
 			g.monitor.Beat()
 		}
 		if reads > 3 {
+			cancel()
 			return connector.Changes{}, errors.New("there are three reads")
 		}
 		o := uint64(reads)
@@ -52,12 +59,6 @@
 		t.Fatal(err)
 	}
 	g.monitor.Beat()
-	var current []bool
-	g.follower.changed = func() {
-		if current = append(current, g.isCurrent()); reads == 3 {
-			cancel()
-		}
-	}
 	if err := g.follower.run(ctx, false); err != nil {
 		t.Fatal(err)
 	}
@@ -65,3 +66,25 @@
 		t.Errorf("the list is current: %t, want not for the read in the pause, and then", current)
 	}
 }
+
+// After a pause requests must wait until the new list is applied, not only read: in between
+// they went to an endpoint that had begun to drain in the pause.
+func TestListAppliedAfterPause(t *testing.T) {
+	now := timekeeper.Now().Add(-10 * time.Second)
+	f := &follower{state: &observer.State{Now: timekeeper.Now}}
+	g := &Gateway{follower: f}
+	g.monitor.Limit, g.monitor.Now = maxBeatInterval, func() time.Time { return now }
+	g.monitor.Beat()
+	now = timekeeper.Now()
+	if g.isCurrent() {
+		t.Fatal("the list of before the pause is taken for current")
+	}
+	f.endpoints.Apply(connector.Changes{Next: 1}, timekeeper.Now())
+	if g.isCurrent() {
+		t.Error("a list that isn't applied yet is taken for current")
+	}
+	f.applyList(observer.Update{First: true})
+	if !g.isCurrent() {
+		t.Error("the new list isn't taken for current")
+	}
+}
