--- /dev/null
+++ b/forwarder/answer.go
@@ -0,0 +1,103 @@
+package forwarder
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
+	"github.com/eelgrassdrift/eelgrassdrift/retrier"
+)
+
+// giveUp finishes a call for which no attempt produced a final response.
+func (c *call) giveUp(v attemptResult, reason string) {
+	switch {
+	case c.started:
+		c.report("broken-off", http.StatusOK, errors.Wrap(v.err, reason))
+		// Closing the connection without the last chunk tells the caller that the
+		// stream is incomplete.
+		panic(http.ErrAbortHandler)
+	case v.response != nil && v.response.header != nil && !impliesNotExecuted(v.response.status):
+		c.writeResponse(v.response)
+		c.report("endpoint-failed", v.response.status, nil)
+	case v.response != nil && v.response.header == nil:
+		c.answerStatus(v.response.status, "endpoint-refused", v.err)
+	case c.ctx.Err() != nil:
+		c.answerStatus(http.StatusGatewayTimeout, c.endReason(), c.ctx.Err())
+	case v.outcome == retrier.NotRun:
+		c.refuse(reason, defaultRetryAfter)
+	default:
+		c.answerStatus(http.StatusBadGateway, reason, v.err)
+	}
+}
+
+// refuse responds that the request has not run and will not run.
+func (c *call) refuse(reason string, after time.Duration) {
+	c.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	c.answerStatus(http.StatusServiceUnavailable, reason, nil)
+}
+
+func (c *call) fail(k classifier.Kind, reason string, err error) {
+	c.answerStatus(k.Status(), reason, err)
+}
+
+func (c *call) answerStatus(status int, reason string, err error) {
+	h := c.w.Header()
+	h.Set("Content-Type", "text/plain")
+	c.handler.setConnectionClose(h)
+	c.w.WriteHeader(status)
+	_, _ = io.WriteString(c.w, reason+"\n")
+	c.report(reason, status, err)
+}
+
+// logFailedAttempt logs an attempt that didn't finish the call, and whether another one
+// follows.
+func (c *call) logFailedAttempt(v attemptResult, decision retrier.Decision) {
+	l := c.handler.Log.Info().Str("request", c.id).Str("endpoint", c.lease.Endpoint.ID).Int("try", c.tries).
+		Str("known", v.outcome.String()).Bool("again", decision.Retry).Str("reason", decision.Reason)
+	if v.response != nil {
+		l = l.Int("status", v.response.status)
+	}
+	l.Err(v.err).Dur("left-ms", time.Until(c.deadline)).Msg("attempt")
+}
+
+// report logs the finished call and passes its result to Observe.
+func (c *call) report(outcome string, status int, err error) {
+	total := time.Since(c.start)
+	l := c.handler.Log.Info()
+	if status >= http.StatusInternalServerError || err != nil {
+		l = c.handler.Log.Warn().Err(err)
+	}
+	route := ""
+	if c.match.Route != nil {
+		route = c.match.Route.Name
+	}
+	l.Str("request", c.id).Uint64("revision", c.revision).Str("route", route).Str("service", c.service).Str("outcome", outcome).Int("status", status).
+		Str("endpoint", c.lease.Endpoint.ID).Int64("version", c.lease.Version).Int("load", c.lease.Load).Int("tries", c.tries).
+		Dur("waited-ms", c.queueTime).Dur("first-ms", c.firstAfter).Dur("total-ms", total).Msg("request")
+	if c.handler.Observe != nil {
+		c.handler.Observe(Result{
+			Route: route, Service: c.service, Outcome: outcome, Status: status, Tries: c.tries,
+			Waited: c.queueTime, First: c.firstAfter, Total: total,
+		})
+	}
+}
+
+// isFinal reports whether the response ends the call even if further attempts are
+// possible.
+func (a *bufferedResponse) isFinal() bool {
+	return a != nil && a.header != nil && a.status < http.StatusInternalServerError && !impliesNotExecuted(a.status)
+}
+
+// impliesNotExecuted reports whether callers take the status to mean that the request
+// has not run.
+func impliesNotExecuted(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -2,27 +2,22 @@
 
 import (
 	"context"
-	"encoding/json"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/distributor"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 	"github.com/eelgrassdrift/eelgrassdrift/loader"
-	"github.com/eelgrassdrift/eelgrassdrift/observer"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 )
 
@@ -243,95 +238,3 @@
 	}
 	return liveShare
 }
-
-// serveDigests answers with the digests of the pieces of a version.
-func (a *Agent) serveDigests(w http.ResponseWriter, q *http.Request) {
-	v, err := strconv.ParseInt(q.PathValue("version"), 10, 64)
-	if err != nil {
-		http.Error(w, "version is not a number", http.StatusBadRequest)
-		return
-	}
-	d := a.loader.KnownDigests(v)
-	if d == nil {
-		http.NotFound(w, q)
-		return
-	}
-	for i := range d {
-		if _, err := w.Write(d[i][:]); err != nil {
-			return
-		}
-	}
-}
-
-// digests returns the digests of a version from the gateway table. If that lacks them, it
-// asks other instances: the first digestPeers
-// members of this failure domain, and a random one in case these are lost. If none
-// knows them, the first members ask the origin, but only a few of the others do,
-// because the origin accepts only a few dozen connections in all. The error is of kind
-// Refused where the caller has to ask again later, and NotFound where it may ask the
-// origin.
-func (a *Agent) digests(ctx context.Context, model string, version int64) ([][32]byte, error) {
-	if d := a.follower.state.Digests(model, version); d != nil {
-		return d.Pieces, nil
-	}
-	all := a.members()
-	near := slices.DeleteFunc(slices.Clone(all), func(m distributor.Member) bool { return string(m.FailureDomain) != a.Domain })
-	near = near[:min(len(near), digestPeers)]
-	asksOrigin := slices.ContainsFunc(near, func(m distributor.Member) bool { return m.Address == a.Peers })
-	if len(all) > 0 {
-		near = append(near, all[rand.IntN(len(all))])
-	}
-	wait := digestTimeout
-	if asksOrigin {
-		wait = originDigestDelay
-	}
-	near = slices.DeleteFunc(near, func(m distributor.Member) bool { return m.Address == a.Peers })
-	d := firstDigests(ctx, near, wait, func(ctx context.Context, m distributor.Member) ([][32]byte, error) {
-		return a.requestDigests(ctx, m.Address, version)
-	})
-	if d != nil {
-		return d, nil
-	}
-	k := classifier.Refused
-	if asksOrigin || rand.Float64() < originProbability {
-		k = classifier.NotFound
-	}
-	return nil, &loader.Error{Op: "ask for digests", Kind: k, Err: errors.Newf("none of %d peers knows version %d", len(near), version)}
-}
-
-// keepDigests writes digests that the origin sent to the gateway table, unless another
-// instance has, and deletes those that nobody needs any more.
-func (a *Agent) keepDigests(ctx context.Context, model string, version int64, pieces [][32]byte) {
-	s := a.follower.state
-	if s.Digests(model, version) != nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, keepDigestsTimeout)
-	defer cancel()
-	b, err := json.Marshal(observer.Digests{Model: model, Version: version, Pieces: pieces})
-	if err == nil {
-		err = a.follower.tables.Gateways.Put(ctx, observer.DigestKey(model, version), b)
-	}
-	for _, k := range s.SupersededDigests(model, version) {
-		err = errors.CombineErrors(err, a.follower.tables.Gateways.Put(ctx, k, nil))
-	}
-	if err != nil {
-		a.Log.Warn().Err(err).Int64("version", version).Msg("digests-not-kept")
-	}
-}
-
-func (a *Agent) requestDigests(ctx context.Context, peer netip.AddrPort, version int64) ([][32]byte, error) {
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+"/v1/digests/"+strconv.FormatInt(version, 10), http.NoBody)
-	if err != nil {
-		return nil, errors.Wrap(err, "ask for digests")
-	}
-	r, err := a.follower.client.Do(q)
-	if err != nil {
-		return nil, errors.Wrap(err, "ask for digests")
-	}
-	defer func() { _ = r.Body.Close() }()
-	if r.StatusCode != http.StatusOK {
-		return nil, errors.Newf("ask for digests: status %d", r.StatusCode)
-	}
-	return readDigests(r.Body)
-}
