dispatcher: end waits at each pause

A longer pause within a second of the first notice set no turn, so queued requests waited until their deadline. TestSecondPauseEndsWaits said before "got acquire: waited, want paused".

--- a/dispatcher/availability.go
+++ b/dispatcher/availability.go
@@ -107,18 +107,20 @@
 	now := d.now()
 	a := d.availabilityOf(p, n)
 	a.heardAt = now
-	turned := v.Leaving && !a.leaving
+	leaves := v.Leaving && !a.leaving
+	pauses := v.Pause > 0 && now.Add(v.Pause).After(a.pausedUntil)
 	a.leaving = a.leaving || v.Leaving
-	if until := now.Add(v.Pause); v.Pause > 0 && until.After(a.pausedUntil) {
-		turned = turned || now.Sub(a.noticedAt) >= noticeInterval
-		a.pausedUntil, a.resumed = until, 0
+	if pauses {
+		a.pausedUntil, a.resumed = now.Add(v.Pause), 0
 	}
-	if !turned {
+	if !leaves && !pauses {
 		return
 	}
-	a.noticedAt = now
-	if d.Noticed != nil {
-		d.Noticed(n.Endpoint, v, from)
+	if leaves || now.Sub(a.noticedAt) >= noticeInterval {
+		a.noticedAt = now
+		if d.Noticed != nil {
+			d.Noticed(n.Endpoint, v, from)
+		}
 	}
 	d.refuseUnavailable(p, now)
 }
--- a/dispatcher/availability_test.go
+++ b/dispatcher/availability_test.go
@@ -48,6 +48,29 @@
 	}
 }
 
+// A pause that follows another one too soon for a log line must end waits as well.
+func TestSecondPauseEndsWaits(t *testing.T) {
+	w := newHarness()
+	w.run("endpoint e1 a 1")
+	w.run("send 4")
+	w.d.Notice(w.leases["e1"][0], dispatcher.Notice{Pause: 100 * time.Millisecond})
+	w.run("sleep 200ms")
+	r := dispatcher.Request{Service: "s", Until: w.now.Add(time.Second), Match: resolver.Match{Route: &resolver.Route{}}}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := w.d.Acquire(t.Context(), r)
+		ended <- err
+	}()
+	for w.d.Status()[0].Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	w.d.Notice(w.leases["e1"][0], dispatcher.Notice{Pause: 3 * time.Second})
+	var e *dispatcher.Error
+	if err := <-ended; !errors.As(err, &e) || e.Reason != "paused" {
+		t.Errorf("got %v, want paused", err)
+	}
+}
+
 // A request must not be sent on a lease that was given before the endpoint said that it
 // leaves or pauses.
 func TestLeaseIsRevoked(t *testing.T) {
