dispatcher, distributor: show two faults found in review

TestLeaseEndsWithVersion. Cause: a lease may be used for 1 s (maxLeaseAge) wherever the time of the older version ends; Lease.IsExpired and IsRevoked don't ask for the version again. After a dial of up to 0.7 s or a pause of under 1 s the request is sent on a version whose time is over. TestSlowSourcesOverWideLink. Cause: Link takes the rate at which chunks come for that of the link, also if the sources are slow, and then asks for one chunk at a time, so it never sees a higher rate. It says: "Expected <int64>: 1 to be >= <int>: 3".

--- /dev/null
+++ b/dispatcher/lease_test.go
@@ -0,0 +1,31 @@
+package dispatcher_test
+
+import (
+	"testing"
+	"time"
+)
+
+// A lease must not outlive the time of an older version: a slow dial or a short pause sends on it.
+func TestLeaseEndsWithVersion(t *testing.T) {
+	w := newHarness()
+	w.d.Grace = 7200 * time.Millisecond
+	w.run("endpoint e1 a 1")
+	w.run("operator v version 2")
+	w.run("sleep 6.8s")
+	w.run("send 1")
+	w.run("sleep 50ms")
+	w.run("begun e1")
+	w.run("done e1 served")
+	w.run("sleep 300ms")
+	if s := w.run("send 1"); s != "e1:1" {
+		t.Fatalf("7.15 s after version 2 was named: %s, want e1:1", s)
+	}
+	l := w.leases["e1"][0]
+	w.run("sleep 900ms")
+	if s := w.run("send 1"); s != "refused-no-endpoint:1" {
+		t.Fatalf("8.05 s after version 2 was named: %s, want it refused", s)
+	}
+	if !l.IsExpired() && !l.IsRevoked() {
+		t.Error("8.05 s after version 2 was named, where 8 s are allowed, a request may still be sent on a lease for version 1")
+	}
+}
--- a/distributor/link_test.go
+++ b/distributor/link_test.go
@@ -129,3 +129,35 @@
 	Expect(held(10 * time.Second)).To(BeNumerically("==", 10))
 	Expect(held(2 * time.Minute)).To(BeNumerically("<", 10))
 }
+
+// Guards against a wide link that is taken for a narrow one because all its sources are slow.
+func TestSlowSourcesOverWideLink(t *testing.T) {
+	RegisterTestingT(t)
+	w := newWeights("abcdefghijklmnopqrstuvwx")
+	var open, most atomic.Int64
+	var peers []distributor.Member
+	for i := range 6 {
+		p := newSlowPeer(t, w, 300*time.Millisecond)
+		s := httptest.NewServer(http.HandlerFunc(func(r http.ResponseWriter, q *http.Request) {
+			n := open.Add(1)
+			defer open.Add(-1)
+			for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+			}
+			p.ServeHTTP(r, q)
+		}))
+		t.Cleanup(s.Close)
+		a := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+		peers = append(peers, distributor.Member{Instance: recorder.Name("peer-" + strconv.Itoa(i)), FailureDomain: "d", Region: "r", Address: a})
+	}
+	f := &distributor.Fetcher{
+		Self: distributor.Member{Instance: "self", FailureDomain: "d", Region: "r"}, OriginRegion: "r",
+		Store: new(distributor.Store), Client: distributor.NewClient(nil), Parallel: 6, Link: &distributor.Link{Bound: 250 * time.Millisecond},
+		Origin: w.origin(new(atomic.Int64)), Members: func() []distributor.Member { return peers },
+	}
+	w.fill(f.Store, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+	_, err := f.Fetch(ctx, w.version, nil)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(most.Load()).To(BeNumerically(">=", 3))
+}
