dispatcher: ask again before a request is sent on its lease

A lease may be used for 1 s, wherever the time of its older version ends: a request that was dialled slowly was sent 8.05 s after the newer version was named, where 8 s are allowed. It was also sent to endpoints that had begun to drain, left the list or been evacuated, and after a notice through another lease if the entry had been written again. IsRevoked now asks isAllowed of the listed process.

--- a/dispatcher/availability.go
+++ b/dispatcher/availability.go
@@ -180,73 +180,85 @@
 // checkAvailable returns an error if no endpoint may serve the request before it is
 // refused, and none is about to load its weights.
 func (d *Dispatcher) checkAvailable(p *pool, r Request, now time.Time) error {
-	loading, allowed := false, false
-	var back time.Time
+	return d.prospect(p, r, now).check(r, now)
+}
+
+// prospect tells when an endpoint may serve requests with the same constraints.
+type prospect struct {
+	// allowed reports whether any endpoint may serve them, at the latest from back on.
+	allowed bool
+	back    time.Time
+	// loading reports whether an endpoint is about to load its weights.
+	loading bool
+}
+
+func (d *Dispatcher) prospect(p *pool, r Request, now time.Time) prospect {
+	var s prospect
 	for _, n := range p.nodes {
 		if !d.isAllowed(p, n, r, now) {
-			loading = loading || p.model != "" && n.isLoading(r, now)
+			s.loading = s.loading || p.model != "" && n.isLoading(r, now)
 			continue
 		}
-		if end := n.pauseEnd(now); !allowed || end.Before(back) {
-			allowed, back = true, end
+		end := n.pauseEnd(now)
+		if !s.allowed || end.Before(s.back) {
+			s.allowed, s.back = true, end
+		}
+		if !end.After(now) {
+			break
 		}
 	}
+	return s
+}
+
+// check returns the error with which the request is refused, or nil.
+func (s prospect) check(r Request, now time.Time) error {
 	switch {
-	case !allowed && !loading:
+	case !s.allowed && !s.loading:
 		return refuse(classifier.Unavailable, "no-endpoint", noEndpointRetryAfter)
-	case allowed && back.After(now) && back.After(r.Until):
-		return refuse(classifier.Unavailable, "paused", back.Sub(now))
+	case s.allowed && s.back.After(now) && s.back.After(r.Until):
+		return refuse(classifier.Unavailable, "paused", s.back.Sub(now))
 	}
 	return nil
 }
 
 // refuseUnavailable refuses the queued requests for which checkAvailable returns an error.
-// It checks requests with the same constraints once.
+// It looks for endpoints once for all requests with the same constraints, apart from the few
+// that exclude endpoints.
 func (d *Dispatcher) refuseUnavailable(p *pool, now time.Time) {
-	if p.isAnyAvailable(now) {
-		return
-	}
-	type key struct {
-		constraints
-		until time.Time
-	}
-	known := make(map[key]error)
+	known := make(map[constraints]prospect)
 	for _, q := range []*[]*waiter{&p.fresh, &p.retried} {
 		kept := (*q)[:0]
 		for _, w := range *q {
-			k := key{w.request.constraints(), w.request.Until}
-			err, ok := known[k]
+			k := w.request.constraints()
+			s, ok := known[k]
 			if !ok || len(w.request.Exclude) > 0 {
-				err = d.checkAvailable(p, w.request, now)
+				s = d.prospect(p, w.request, now)
 			}
 			if len(w.request.Exclude) == 0 {
-				known[k] = err
+				known[k] = s
 			}
-			if err == nil {
-				kept = append(kept, w)
+			if err := s.check(w.request, now); err != nil {
+				w.granted <- grant{err: err}
 				continue
 			}
-			w.granted <- grant{err: err}
+			kept = append(kept, w)
 		}
 		clear((*q)[len(kept):])
 		*q = kept
 	}
 }
 
-// isAnyAvailable reports whether any endpoint of the pool neither leaves nor is paused.
-func (p *pool) isAnyAvailable(now time.Time) bool {
-	for _, n := range p.nodes {
-		if !n.Draining && !n.isLeaving() && !n.isPaused(now) {
-			return true
-		}
-	}
-	return false
-}
-
-// IsRevoked reports whether the endpoint has said since the lease was given that it leaves
-// or wants no requests, so that the request must not be sent.
+// IsRevoked reports whether the request must not be sent on the lease any more: since it was
+// given, the endpoint has left the list, drains, has said that it leaves or wants no requests,
+// or the time of its version has come near its end.
 func (l *Lease) IsRevoked() bool {
-	l.d.mu.Lock()
-	defer l.d.mu.Unlock()
-	return l.node.isLeaving() || l.node.isPaused(l.d.now())
+	d := l.d
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	n := l.pool.nodes[l.Endpoint.ID]
+	if n == nil || processOf(&n.Endpoint) != processOf(&l.Endpoint) {
+		return true
+	}
+	return n.isPaused(now) || !d.isAllowed(l.pool, n, l.request, now)
 }
--- a/dispatcher/availability_test.go
+++ b/dispatcher/availability_test.go
@@ -48,6 +48,29 @@
 	}
 }
 
+// A queued request must not wait for an endpoint that left because one is free that it may not
+// use.
+func TestQueuedRequestEndsWithItsOnlyEndpoint(t *testing.T) {
+	w := newHarness()
+	w.run("endpoint e1 a 1")
+	w.run("endpoint e2 b 1")
+	w.run("send 4 home=ra")
+	r := dispatcher.Request{Service: "s", Until: w.now.Add(time.Second), Match: resolver.Match{Route: &resolver.Route{Regions: []string{"ra"}}}}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := w.d.Acquire(t.Context(), r)
+		ended <- err
+	}()
+	for w.d.Status()[0].Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	w.d.Notice(w.leases["e1"][0], dispatcher.Notice{Leaving: true})
+	var e *dispatcher.Error
+	if err := <-ended; !errors.As(err, &e) || e.Reason != "no-endpoint" {
+		t.Errorf("got %v, want no-endpoint", err)
+	}
+}
+
 // A pause that follows another one too soon for a log line must end waits as well.
 func TestSecondPauseEndsWaits(t *testing.T) {
 	w := newHarness()
--- a/dispatcher/lease.go
+++ b/dispatcher/lease.go
@@ -17,9 +17,10 @@
 	// Load is the estimated number of requests at the endpoint, without this one.
 	Load int
 
-	d    *Dispatcher
-	pool *pool
-	node *node
+	d       *Dispatcher
+	pool    *pool
+	node    *node
+	request Request
 	// prefill is the estimated time that the engine takes to process the prompt; 0
 	// once it has.
 	prefill time.Duration
@@ -54,7 +55,7 @@
 )
 
 func (d *Dispatcher) lease(p *pool, n *node, r Request, now time.Time) *Lease {
-	l := &Lease{Endpoint: n.Endpoint, Load: n.load(now, d.gateways), d: d, pool: p, node: n, sentAt: now, grantedAt: d.State.Now()}
+	l := &Lease{Endpoint: n.Endpoint, Load: n.load(now, d.gateways), d: d, pool: p, node: n, request: r, sentAt: now, grantedAt: d.State.Now()}
 	if p.model != "" {
 		l.Version = n.version(p.model, now)
 		n.begins.pending = append(n.begins.pending, l)
