distributor: wait for the own link before a holder's time begins

The watchdog of a request to a holder ran while the request waited for this instance's own narrow link, so after 0.7 s the holder counted as failed though nothing had been sent. Found in review, by reading; no test.

--- a/distributor/attempt.go
+++ b/distributor/attempt.go
@@ -179,13 +179,7 @@
 			continue
 		}
 		ctx, cancel := context.WithCancelCause(ctx)
-		w := newWatchdog(t.f.Stall, t.f.Stall, cancel, func() { cancel(errStall) })
-		var r reply
-		c, err := t.claim(ctx)
-		if err == nil {
-			r, err = t.get(ctx, Source{Member: m, Level: l}, query{seenHolders: -1}, w, c)
-		}
-		w.stop()
+		r, err := t.askHolder(ctx, cancel, Source{Member: m, Level: l})
 		stalled := errors.Is(context.Cause(ctx), errStall)
 		cancel(nil)
 		switch {
@@ -201,6 +195,18 @@
 	return false
 }
 
+// askHolder sends one request to an instance that got the chunk. The time in which the
+// instance must answer begins once the link of this one is free for the chunk.
+func (t *task) askHolder(ctx context.Context, cancel context.CancelCauseFunc, s Source) (reply, error) {
+	c, err := t.claim(ctx)
+	if err != nil {
+		return reply{}, err
+	}
+	w := newWatchdog(t.f.Stall, t.f.Stall, cancel, func() { cancel(errStall) })
+	defer w.stop()
+	return t.get(ctx, s, query{seenHolders: -1}, w, c)
+}
+
 // query holds the parameters of a request to a peer.
 type query struct {
 	// wait is how long the peer holds the request.
