--- a/dispatcher/availability.go
+++ b/dispatcher/availability.go
@@ -238,7 +238,7 @@
 				known[k] = s
 			}
 			if err := s.check(w.request, now); err != nil {
-				w.granted <- grant{err: err}
+				w.granted <- waitResult{err: err}
 				continue
 			}
 			kept = append(kept, w)
--- a/dispatcher/begin.go
+++ b/dispatcher/begin.go
@@ -12,9 +12,8 @@
 	// beginFactor is the assumed upper bound of the ratio of the delay of a request to
 	// the largest recent one. Under overload the delays grow from request to request.
 	beginFactor = 1.5
-	// unknownBegin is the least delay that is assumed where none is remembered. It exceeds
-	// the time between the last use of an older version and the end of its time, but only
-	// by a little, as requests may find no other engine then.
+	// unknownBegin is the least delay that is assumed where none is remembered. A longer one
+	// would end the use of older versions earlier, when there may be no other engine.
 	unknownBegin = time.Second
 	// minStall is the time without a first token after which an engine counts as stalled,
 	// and stallFactor the least ratio of that time to the usual one of the service.
@@ -107,8 +106,8 @@
 
 // mayBegin reports whether a request that is sent to the endpoint now begins before the
 // endpoint's version may no longer be used, going by the recent delays there and the delay
-// in the link of its instance. The delays of a loaded engine also come from the prompts of other gateways that it has accepted
-// and not read, which its report doesn't show.
+// in the link of its instance. The delays of a loaded engine also come from the prompts of
+// other gateways that it has accepted and not read, which its report doesn't show.
 func (d *Dispatcher) mayBegin(p *pool, n *node, now time.Time) bool {
 	v := n.version(p.model, now)
 	if d.MaxVersionDelay == 0 || v >= p.target.Version {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -263,7 +263,7 @@
 		}
 		r = r.late()
 	}
-	w := &waiter{pool: p, request: r, rank: r.rank(), since: now, granted: make(chan grant, 1)}
+	w := &waiter{pool: p, request: r, rank: r.rank(), since: now, granted: make(chan waitResult, 1)}
 	p.enqueue(w)
 	return nil, w, nil
 }
--- a/dispatcher/grant.go
+++ b/dispatcher/grant.go
@@ -40,7 +40,7 @@
 			p.remove(w)
 			l := d.lease(p, n, w.request, now)
 			l.Waited = now.Sub(w.since)
-			w.granted <- grant{lease: l}
+			w.granted <- waitResult{lease: l}
 			return true
 		}
 	}
--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -44,11 +44,11 @@
 	request Request
 	rank    int
 	since   time.Time
-	granted chan grant
+	granted chan waitResult
 }
 
-// grant is the end of a wait: a lease, or the error with which the request is refused.
-type grant struct {
+// waitResult is the end of a wait: a lease, or the error with which the request is refused.
+type waitResult struct {
 	lease *Lease
 	err   error
 }
@@ -244,11 +244,11 @@
 
 // cancelWait removes the waiter from the queue, or returns the end of its wait if that has
 // come in the meantime.
-func (d *Dispatcher) cancelWait(w *waiter) (g grant, ended bool) {
+func (d *Dispatcher) cancelWait(w *waiter) (r waitResult, ended bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if w.pool.remove(w) {
-		return grant{}, false
+		return waitResult{}, false
 	}
 	return <-w.granted, true
 }
--- a/distributor/link.go
+++ b/distributor/link.go
@@ -57,7 +57,8 @@
 // claim is the part of a Link that a request for a chunk uses.
 type claim struct {
 	link *Link
-	// narrow reports whether the request may not be held at the source.
+	// narrow reports whether the link carries so few chunks within the bound that the request
+	// must not be held at the source, as a held one may be answered at any time.
 	narrow bool
 	// isPeer reports whether the bytes come from a peer. The origin serves many instances
 	// at once, so its rate tells nothing about the link.
