forwarder: log who ended an attempt and after which silence

An attempt that the gateway ends for the endpoint's silence and one that the endpoint breaks off could be told apart by the text of the error only, and the length of the silence not at all.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -1,12 +1,15 @@
 package forwarder
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/retrier"
@@ -55,13 +58,30 @@
 
 // logFailedAttempt logs an attempt that didn't finish the call, and whether another one
 // follows.
-func (c *call) logFailedAttempt(v attemptResult, decision retrier.Decision) {
+func (c *call) logFailedAttempt(a *attempt, v attemptResult, decision retrier.Decision) {
 	l := c.handler.Log.Info().Str("request", c.id).Str("endpoint", c.lease.Endpoint.ID).Int("try", c.tries).
 		Str("known", v.outcome.String()).Bool("again", decision.Retry).Str("reason", decision.Reason)
 	if v.response != nil {
 		l = l.Int("status", v.response.status)
 	}
-	l.Err(v.err).Dur("left-ms", time.Until(c.deadline)).Msg("attempt")
+	if !a.heard.IsZero() {
+		l = l.Dur("silent-ms", time.Since(a.heard))
+	}
+	l.Err(v.err).Str("ended-by", endedBy(c.ctx, v.err)).Dur("left-ms", time.Until(c.deadline)).Msg("attempt")
+}
+
+// endedBy returns who ended a failed attempt: the caller, the gateway by a timeout of its own,
+// the network, or the endpoint.
+func endedBy(ctx context.Context, err error) string {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return "caller"
+	case ctx.Err() != nil, errors.Is(err, os.ErrDeadlineExceeded):
+		return "gateway"
+	case errors.Is(err, unix.ETIMEDOUT), errors.Is(err, unix.EHOSTUNREACH), errors.Is(err, unix.ENETUNREACH):
+		return "network"
+	}
+	return "endpoint"
 }
 
 // report logs the finished call and passes its result to Observe.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -33,6 +33,9 @@
 	response *http.Response
 	// sent reports whether bytes of the request may have reached the endpoint.
 	sent bool
+	// heard is the time of the last part of the response that was complete enough to be
+	// used, or of the request if there was none.
+	heard time.Time
 }
 
 // attemptResult is the result of an attempt.
@@ -122,7 +125,8 @@
 	if err := a.write(); err != nil {
 		return unknownOutcome("send request", err)
 	}
-	if err := a.conn.SetReadDeadline(time.Now().Add(a.call.firstByteTimeout())); err != nil {
+	a.heard = time.Now()
+	if err := a.conn.SetReadDeadline(a.heard.Add(a.call.firstByteTimeout())); err != nil {
 		return unknownOutcome("send request", err)
 	}
 	r, err := a.readHeaders() //nolint:bodyclose // Close would read the rest of the body; the connection is closed instead.
@@ -133,7 +137,7 @@
 	if !a.call.isAnsweredBy(r.Header.Values(names.RequestID)) {
 		return unknownOutcome("read response", errors.Newf("response has request ids %q", r.Header.Values(names.RequestID)))
 	}
-	a.response = r
+	a.response, a.heard = r, time.Now()
 	a.notice()
 	if ms, err := strconv.ParseInt(r.Header.Get(names.Cold), 10, 64); err == nil && ms > 0 {
 		a.call.handler.Dispatcher.ExtendCold(a.call.lease, milliseconds(ms, maxColdTime))
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -58,7 +58,8 @@
 			a.call.lastEvent = fields.id
 		}
 		if fields.hasData {
-			due = time.Now().Add(a.call.eventTimeout())
+			a.heard = time.Now()
+			due = a.heard.Add(a.call.eventTimeout())
 		}
 		fields = eventFields{}
 		event.Reset()
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -156,7 +156,7 @@
 			unavailable = c.handler.Dispatcher.Available(c.dispatcherRequest())
 			decision = c.retryDecision(v, a.sent, unavailable == nil)
 		}
-		c.logFailedAttempt(v, decision)
+		c.logFailedAttempt(a, v, decision)
 		switch {
 		case decision.Retry:
 		case decision.Reason == retrier.NoEndpoint:
