direct: test of the paused agent doesn't depend on the machine's uptime

The agent's first beat, in build, is on the real clock, which counts from the machine's start; the test then went on at 1000 s. The test now goes on from the real clock; its check is the same.

--- a/internal/direct/agent_pause_test.go
+++ b/internal/direct/agent_pause_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 )
 
@@ -31,7 +32,7 @@
 	if a.follower.earliest == nil {
 		t.Fatal("records count as written when they arrive")
 	}
-	now := time.Unix(1000, 0)
+	now := timekeeper.Now()
 	a.monitor.Now = func() time.Time { return now }
 	for range 5 {
 		a.monitor.Beat()
