--- a/forwarder/handler_test.go
+++ b/forwarder/handler_test.go
@@ -426,11 +426,8 @@
 	return "id-1"
 }
 
-func sendRequest(url, route string) string { return sendRequestWithID(url, route, "id-1") }
-
-func sendRequestWithID(url, route, id string) string {
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
+// newRequest returns a request on a route. It tries to name its account itself.
+func newRequest(ctx context.Context, url, route, id string) *http.Request {
 	q, _ := http.NewRequestWithContext(ctx, http.MethodPost, url+"/"+route+"/x?y=1", strings.NewReader("body"))
 	q.Host = "h"
 	q.Header.Set("Authorization", "Bearer key")
@@ -438,7 +435,15 @@
 		q.Header.Set(headers.RequestID, id)
 	}
 	q.Header.Set(headers.Account, "forged")
-	r, err := http.DefaultClient.Do(q)
+	return q
+}
+
+func sendRequest(url, route string) string { return sendRequestWithID(url, route, "id-1") }
+
+func sendRequestWithID(url, route, id string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	r, err := http.DefaultClient.Do(newRequest(ctx, url, route, id))
 	if err != nil {
 		return "connection closed"
 	}
--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"runtime/debug"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,51 +18,6 @@
 // errSuperseded ends an attempt because another one has gone on with the response.
 var errSuperseded = &Error{Op: "read response", Kind: classifier.Timeout, Err: errors.New("another attempt has gone on with the response")}
 
-// attempts holds the attempts of a call that are under way. An attempt whose endpoint is
-// silent stays among them while another one is made, and goes on if it is the first to have
-// the next part of the response.
-type attempts struct {
-	mu sync.Mutex
-	// running holds the attempts that haven't ended, and those whose end next hasn't returned.
-	running []*attempt
-	// writer is the attempt that may write to the caller; nil if the first one to claim
-	// this may.
-	writer *attempt
-	// claims counts the claims, and seen is their number when take last returned an attempt.
-	claims, seen int
-	// stopAcquire cancels the wait for another attempt's lease; nil if there is none.
-	stopAcquire context.CancelFunc
-	// changed receives a value after an attempt has ended or its endpoint has become silent.
-	changed chan struct{}
-}
-
-// attemptState is the part of an attempt that the lock of attempts guards.
-type attemptState struct {
-	ended  bool
-	result attemptResult
-	// superseded reports whether another attempt has claimed since this one was made.
-	superseded bool
-	// silent reports whether the endpoint has let due pass.
-	silent bool
-	// reported reports whether next has returned the attempt as silent.
-	reported bool
-	// due is the time at which the next part of the response is due; the zero value while
-	// the attempt doesn't wait for it.
-	due time.Time
-	// heard is the time of the last part of the response that was complete enough to be used,
-	// or of the request if there was none.
-	heard time.Time
-	// askAfter is the time before which the endpoint doesn't count as silent again.
-	askAfter time.Time
-}
-
-func (s *attempts) notify() {
-	select {
-	case s.changed <- struct{}{}:
-	default:
-	}
-}
-
 // acquire waits for a lease until a silent attempt goes on.
 func (c *call) acquire() (*dispatcher.Lease, error) {
 	ctx, cancel := context.WithCancel(c.ctx)
@@ -77,14 +30,6 @@
 	return c.handler.Dispatcher.Acquire(ctx, q)
 }
 
-// setStopAcquire reports whether no attempt has claimed since take returned the last one.
-func (s *attempts) setStopAcquire(stop context.CancelFunc) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stopAcquire = stop
-	return s.claims == s.seen
-}
-
 // startAttempt makes an attempt at another endpoint, beside the silent ones.
 func (c *call) startAttempt() error {
 	l, err := c.acquire()
@@ -130,37 +75,6 @@
 	}
 }
 
-func (s *attempts) take() (a *attempt, ended bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.seen = s.claims
-	for i, a := range s.running {
-		if a.state.ended {
-			s.running = slices.Delete(s.running, i, i+1)
-			return a, true
-		}
-	}
-	for _, a := range s.running {
-		if a.state.silent && !a.state.reported {
-			a.state.reported = true
-			return a, false
-		}
-	}
-	return nil, false
-}
-
-// counts returns the number of attempts under way, and of those whose endpoints aren't silent.
-func (s *attempts) counts() (running, active int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, a := range s.running {
-		if !a.state.silent {
-			active++
-		}
-	}
-	return len(s.running), active
-}
-
 // join ends the attempts under way and waits until they have ended.
 func (c *call) join() {
 	c.cancel()
@@ -252,19 +166,6 @@
 	s.notify()
 }
 
-// askAgain records that the silent attempts are to be reported again at a time, unless they
-// have gone on.
-func (s *attempts) askAgain(at time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, a := range s.running {
-		if st := &a.state; st.silent && !st.ended {
-			st.silent, st.due, st.askAfter = false, at, at
-			a.silence.Reset(time.Until(at))
-		}
-	}
-}
-
 // claim gives the attempt the right to write to the caller and ends the other ones, unless
 // another one has claimed before. The attempt keeps the right until it ends or its endpoint
 // is silent, which it isn't before the next call of expect.
@@ -289,22 +190,6 @@
 	return a.hold()
 }
 
-// supersede makes the attempt the writer and ends the other ones. It is called with the lock
-// held.
-func (s *attempts) supersede(a *attempt) {
-	s.writer = a
-	s.claims++
-	for _, b := range s.running {
-		if b != a {
-			b.state.superseded = true
-			b.cancel()
-		}
-	}
-	if s.stopAcquire != nil {
-		s.stopAcquire()
-	}
-}
-
 // isWriter reports whether the attempt may write to the caller, as claim does, but doesn't
 // claim.
 func (a *attempt) isWriter() bool {
--- a/forwarder/hedge_test.go
+++ b/forwarder/hedge_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -55,11 +54,7 @@
 	s := httptest.NewServer(f)
 	ctx, cancel := context.WithTimeout(context.Background(), 1800*time.Millisecond)
 	defer cancel()
-	q, _ := http.NewRequestWithContext(ctx, http.MethodPost, s.URL+"/any/x", strings.NewReader("body"))
-	q.Host = "h"
-	q.Header.Set("Authorization", "Bearer key")
-	q.Header.Set(headers.RequestID, "id-1")
-	if r, err := http.DefaultClient.Do(q); err == nil {
+	if r, err := http.DefaultClient.Do(newRequest(ctx, s.URL, "any", "id-1")); err == nil {
 		_ = r.Body.Close()
 		t.Fatal("the caller got a response")
 	}
--- a/forwarder/leave_test.go
+++ b/forwarder/leave_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -31,10 +30,7 @@
 	s := httptest.NewServer(f)
 	defer s.Close()
 	ctx, cancel := context.WithCancel(context.Background())
-	q, _ := http.NewRequestWithContext(ctx, http.MethodPost, s.URL+"/any/x", strings.NewReader("body"))
-	q.Host = "h"
-	q.Header.Set("Authorization", "Bearer key")
-	q.Header.Set(headers.RequestID, "id-1")
+	q := newRequest(ctx, s.URL, "any", "id-1")
 	time.AfterFunc(100*time.Millisecond, cancel)
 	began := time.Now()
 	if r, err := http.DefaultClient.Do(q); err == nil {
