forwarder: keep connections of a path that is silent for 2 s

What callers saw: 502 for a request that may run once, though its response was on its way, and lost work for others. An endpoint that read nothing for 2 s lost each request whose body didn't fit in the buffers. Cause: TCP_USER_TIMEOUT was 1.2 s. It ends a connection whose data stay unacknowledged, one whose keep-alive probes aren't answered (it replaces their count), and one whose peer answers with a window of zero. The probes every 0.4 s never were: the kernel takes whole seconds, so a waiting connection ended 2 s after its last segment. Change: 4.7 s. The kernel doubles the time between retransmissions, and sends none when the time is over; 7/3 of the 2 s for which callers wait leave one after a silence of that length, for first retransmissions after up to 1.5 s. Probes each second, the last due 5 s after the last segment: the longest routes have 6 s, so a dead endpoint is answered with 502 in time. Idle connections aren't used for requests that may run once, as before; a lost SYN still ends a dial after 0.7 s, with a refusal that is true. Tests before: "write of 3919467 of 8388608 bytes after 1.469874976s: connection timed out", the endpoint read 127973 bytes; "with a first retransmission after 200ms, none comes between 2s and 1.2s". Tried: 4.5 s leaves none where the first one comes after 643 ms. Ruled out: no option at all (a request to a dead machine would wait for its deadline, and the kernel goes on for minutes with a window of zero). Not tested: loss of packets, which needs more than a relay. The numbers of the kernel are read back, its timers taken from its documentation. Until now the option also ended a write of a body that no one reads, for a request that may be repeated: the attempt sets no deadline before it has written its request.

--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -23,20 +23,26 @@
 	// dialTimeout is well below the second that callers allow for a connection. A lost
 	// SYN is retransmitted only after a second, so it counts as a failed dial.
 	dialTimeout = 700 * time.Millisecond
-	// userTimeout is how long sent data may stay unacknowledged. Callers abandon a
-	// stream without data after two seconds.
-	userTimeout = 1200 * time.Millisecond
+	// userTimeout is how long sent data may stay unacknowledged, or a window of zero last.
+	// A path that is silent for two seconds and then goes on must keep its connections:
+	// callers wait that long for an event. The kernel doubles the time between
+	// retransmissions, so the second one may come just before the two seconds have passed
+	// and the third one after 7/3 of them. It sends none when the time is over.
+	userTimeout = 4700 * time.Millisecond
 	// probeIdle and probeInterval set the TCP keep-alive probes, which detect a dead
-	// endpoint while the gateway waits for its response.
+	// endpoint while the gateway waits for its response. The kernel takes whole seconds.
+	// It ends the connection at the first probe that is due after userTimeout, whatever
+	// probeCount is, so that a request has its last second left for a truthful response.
 	probeIdle     = time.Second
-	probeInterval = 400 * time.Millisecond
+	probeInterval = time.Second
 	// defaultIdleTimeout is how long an idle connection is kept if the endpoint sends
 	// no Keep-Alive timeout.
 	defaultIdleTimeout = 4 * time.Second
 )
 
 const (
-	probeCount = 3
+	// probeCount gives the same time where userTimeout isn't considered.
+	probeCount = 4
 	// maxIdlePerEndpoint bounds the idle connections to one endpoint and maxIdleTotal
 	// those to all endpoints, as they share the file descriptors with the callers'
 	// connections.
