dispatcher: keep endpoints that respond while their agent is silent

What callers saw: an agent silent for 1 to 2 s takes its endpoint out, though the engine answers: while others are usable but full, requests wait and are refused though it has free slots. Cause: an endpoint counted as suspect 0.9 s after its last report, whatever it sent itself. The last resort is used only if no other is usable, with capacity or without. Change: a first event, a whole response and a refusal for lack of a slot are signs of life as well. Behind a cut neither reports nor responses come, so an endpoint there is still suspect 0.9 s after the last of either. Left: events within a stream don't count, as a lease doesn't see them.

--- a/dispatcher/lease.go
+++ b/dispatcher/lease.go
@@ -78,10 +78,12 @@
 	return l
 }
 
-// PrefillDone records that the engine has processed the prompt. Further calls do nothing.
+// PrefillDone records that the endpoint has sent the first part of its response, so that
+// the engine has processed the prompt. Further calls do nothing.
 func (l *Lease) PrefillDone() {
 	l.d.mu.Lock()
 	defer l.d.mu.Unlock()
+	l.node.respondedAt = l.d.now()
 	l.settle(true)
 	if l.prefill > 0 {
 		l.finishPrefill()
@@ -102,6 +104,9 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	n.inFlight--
+	if o == Served || o == Full {
+		n.respondedAt = now
+	}
 	l.settle(o == Served)
 	l.finishPrefill()
 	switch o {
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -13,8 +13,8 @@
 	// reportMaxAge is the age up to which a load report is used; reports arrive five
 	// times a second.
 	reportMaxAge = 1200 * time.Millisecond
-	// reportTimeout is the time without a report after which an endpoint whose
-	// instance has reported before is suspected to be lost or cut off; four reports
+	// reportTimeout is the time without a report or a response after which an endpoint
+	// whose instance has reported before is suspected to be lost or cut off; four reports
 	// are due in it.
 	reportTimeout = 900 * time.Millisecond
 	// minSuspect and maxSuspect bound the time for which an endpoint that failed gets
@@ -73,6 +73,8 @@
 	report           Report
 	reportedAt       time.Time
 	inFlightAtReport int
+	// respondedAt is when the endpoint last responded to a request of this gateway.
+	respondedAt time.Time
 
 	begins beginDelays
 	// availability is nil unless the endpoint's process has said that it leaves or pauses.
@@ -138,10 +140,11 @@
 	return n.Versions[model]
 }
 
-// isSuspect reports whether the endpoint failed recently or its instance stopped
-// reporting. Missing reports reveal a cut link before a request is lost on it.
+// isSuspect reports whether the endpoint failed recently, or its instance stopped
+// reporting and it doesn't respond either. Missing reports reveal a cut link before a
+// request is lost on it, but an agent may be silent beside a sound endpoint.
 func (n *node) isSuspect(now time.Time) bool {
-	return now.Before(n.suspectUntil) || !n.reportedAt.IsZero() && now.Sub(n.reportedAt) > reportTimeout
+	return now.Before(n.suspectUntil) || !n.reportedAt.IsZero() && now.Sub(n.reportedAt) > reportTimeout && now.Sub(n.respondedAt) > reportTimeout
 }
 
 // isClosed reports whether the endpoint is about to load weights or is loading them.
