dispatcher: use the reported load of an agent that is silent for 2 s

What callers saw: while all agents are silent for 1.2 to 2 s beside sound engines, first requests are refused though slots are free, or are sent to an engine that others have filled. Cause: 1.2 s after its last report the load of an engine was taken to be this gateway's own requests times the number of gateways. Change: the reported load, with the own requests since, stands for 2.4 s: 2 s of silence and two reports. The assumption follows after that, as it does for an agent that is gone. Test before: five gateways, four slots, two of them taken: "e1:2, refused-full:3, e1:1 refused-full:2", expected "e1:2, e1:2 refused-full:1, e1:1 refused-full:2". The second script has an engine that others filled; a trial on the code before sent it one request (e1:1 refused-full:1). Ruled out: reportMaxAge of 2.4 s for all that a report says; an engine that was about to load would be closed for longer, and a version that the list already has would count later.

--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -10,9 +10,13 @@
 
 // Times of a node.
 const (
-	// reportMaxAge is the age up to which a load report is used; reports arrive five
-	// times a second.
+	// reportMaxAge is the age up to which a report is used; reports arrive five times a
+	// second.
 	reportMaxAge = 1200 * time.Millisecond
+	// loadMaxAge is the same for the load. An agent may be silent for two seconds and go
+	// on, and two reports are due then. The load of the other gateways changes less in that
+	// time than an assumption would be wrong.
+	loadMaxAge = 2400 * time.Millisecond
 	// reportTimeout is the time without a report or a response after which an endpoint
 	// whose instance has reported before is suspected to be lost or cut off; four reports
 	// are due in it.
@@ -123,7 +127,7 @@
 // load estimates the number of requests of all gateways at the endpoint.
 // Without a recent report it assumes that all gateways send as much as this one.
 func (n *node) load(now time.Time, gateways int) int {
-	if now.Sub(n.reportedAt) <= reportMaxAge {
+	if now.Sub(n.reportedAt) <= loadMaxAge {
 		return max(n.inFlight, n.report.Load+n.inFlight-n.inFlightAtReport)
 	}
 	if len(n.Versions) == 0 {
