dispatcher: keep the version that a silent agent reported last

What callers saw: 503 no-endpoint for requests that an engine could serve. Its agent reported the new version and fell silent for 1.5 s; the list still had the older one, which may no longer be used. Cause: 1.2 s after the last report the version fell back on that of the list, which lags by heartbeats and by what the platform takes. Change: up to 2.4 s, as for the load, the newer one of both counts. A process loads only newer versions, and a restarted one is another node. Test before: "expected e1:1, refused-no-endpoint:1, e1:1; found refused-no-endpoint:1, refused-no-endpoint:1, e1:1". A second script holds that a newer version of the list counts, and that nothing is kept of the process before; not shown to fail before. Ruled out: keeping the report longer, as an engine that loses its weights without a new start is known from the list alone if its agent is gone.

--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -13,10 +13,11 @@
 	// reportMaxAge is the age up to which a report is used; reports arrive five times a
 	// second.
 	reportMaxAge = 1200 * time.Millisecond
-	// loadMaxAge is the same for the load. An agent may be silent for two seconds and go
-	// on, and two reports are due then. The load of the other gateways changes less in that
-	// time than an assumption would be wrong.
-	loadMaxAge = 2400 * time.Millisecond
+	// silentReportMaxAge is the same for the load and the version. An agent may be silent
+	// for two seconds and go on, and two reports are due then. The load of the other
+	// gateways changes less in that time than an assumption would be wrong, and a process
+	// loads only newer versions.
+	silentReportMaxAge = 2400 * time.Millisecond
 	// reportTimeout is the time without a report or a response after which an endpoint
 	// whose instance has reported before is suspected to be lost or cut off; four reports
 	// are due in it.
@@ -127,7 +128,7 @@
 // load estimates the number of requests of all gateways at the endpoint.
 // Without a recent report it assumes that all gateways send as much as this one.
 func (n *node) load(now time.Time, gateways int) int {
-	if now.Sub(n.reportedAt) <= loadMaxAge {
+	if now.Sub(n.reportedAt) <= silentReportMaxAge {
 		return max(n.inFlight, n.report.Load+n.inFlight-n.inFlightAtReport)
 	}
 	if len(n.Versions) == 0 {
@@ -136,10 +137,14 @@
 	return n.inFlight * gateways
 }
 
-// version returns the version of a model that the endpoint serves; 0 for none.
+// version returns the version of a model that the endpoint serves; 0 for none. Without a
+// recent report it is the newest that the list or the last report has, as either may lag.
 func (n *node) version(model string, now time.Time) int64 {
-	if now.Sub(n.reportedAt) <= reportMaxAge {
+	switch age := now.Sub(n.reportedAt); {
+	case age <= reportMaxAge:
 		return n.report.Versions[model]
+	case age <= silentReportMaxAge:
+		return max(n.report.Versions[model], n.Versions[model])
 	}
 	return n.Versions[model]
 }
