loader: leave an engine that is silent for a second in its turn

What callers saw: while engines load a new version one after the other, one that didn't answer its agent for a second loads at once, beside the one whose turn it is. It closes, cuts the streams that may be cut, and its capacity is missing though it was sound. Cause: the wait for the turn ended when a read of the engine failed, to load sooner after a restart. Change: it ends only when an answer has no version, as the first one after a restart does. The last known state stands until then. Test before: "empty engine false: loaded before its turn true". That an engine which came back empty loads at once is tested beside it. Ruled out: the order itself, which isn't sent while the engine is silent ("the engine doesn't answer"), and is tried again 250 ms later.

--- a/loader/loader.go
+++ b/loader/loader.go
@@ -236,7 +236,9 @@
 		start = loadStart(place, since, start, l.latestLoad(model, version), l.MaxVersionDelay)
 	}
 	for timekeeper.Now().Before(start) && l.complete.Load() == version {
-		if s, ok := l.Reporter.State(); !ok || s.Versions[model] == 0 {
+		// An engine that is silent keeps its turn. If it has restarted, its first answer
+		// has no version.
+		if s, _ := l.Reporter.State(); s.Versions[model] == 0 {
 			break
 		}
 		_ = sleeper.Sleep(ctx, min(pollInterval, start.Sub(timekeeper.Now())))
--- a/loader/superseded_test.go
+++ b/loader/superseded_test.go
@@ -252,3 +252,28 @@
 		t.Errorf("got %d of %d bytes", len(b), size)
 	}
 }
+
+// An engine that doesn't answer a read for a second must still load in its turn, or it takes
+// itself out while others load. One that comes back without weights must load at once.
+func TestSilentEngineLoadsInTurn(t *testing.T) {
+	for _, empty := range []bool{false, true} {
+		l, _, _, _ := newTestLoader(t, "127.0.0.4:1")
+		l.MaxVersionDelay = 2 * time.Second
+		l.setComplete(3)
+		turn := loadStart(0, l.since("m", 3), timekeeper.Now(), time.Time{}, l.MaxVersionDelay)
+		l.Reporter.known = false
+		if empty {
+			time.AfterFunc(100*time.Millisecond, func() {
+				l.Reporter.mu.Lock()
+				defer l.Reporter.mu.Unlock()
+				l.Reporter.last.Versions, l.Reporter.known = nil, true
+			})
+		}
+		if !l.awaitLoadStart(t.Context(), "m", 3) {
+			t.Fatal("the load was left")
+		}
+		if early := timekeeper.Now().Before(turn); early != empty {
+			t.Errorf("empty engine %t: loaded before its turn %t", empty, early)
+		}
+	}
+}
