distributor: keep a source that is silent twice within a chunk

What was seen: a source that is silent for 1.5 s, goes on and is silent once more for 0.7 s loses the transfer, though nobody else has the chunk. All its bytes come again, and a source that pauses in each chunk never delivers one. An engine without weights then stays without. Cause: the first silence is allowed five stall periods, the next source being asked after the first. Bytes after it set the time back to one period, at whose end the request was canceled. Change: a source that was reported as stalled keeps the four further periods in each later silence (2.8 s in direct dispatch). Test before: four chunks from one peer with two silences of two stall periods each, origin away: "context deadline exceeded" after 20 s; now 0.8 s with one request for each chunk. Ruled out: the first silence, at the first byte or within a body, which never dropped anything before a further source had failed or delivered. -race of the package: only TestSlowSourcesOverWideLink, listed as red.

--- a/distributor/watch.go
+++ b/distributor/watch.go
@@ -11,7 +11,7 @@
 const minProgressBytes = 512
 
 // watchdog detects that too few bytes arrive. It calls hedge once after the first stall
-// period, and cancels the request after cancelStalls further ones.
+// period, and cancels the request after cancelStalls further ones in which nothing came.
 type watchdog struct {
 	stall time.Duration
 
@@ -60,6 +60,12 @@
 		return
 	}
 	w.begun, w.bytes = true, 0
+	if w.fired {
+		// The next source was asked already. The source that goes on keeps the same time
+		// as in its first silence, as the other one may have nothing.
+		w.timer.Reset(cancelStalls * w.stall)
+		return
+	}
 	w.timer.Reset(w.stall)
 }
 
