distributor: keep a holder's transfer that falls silent within a chunk

What was seen: a busy source names an instance that has the chunk. If that one is silent for longer than a stall period (0.7 s in direct dispatch) in the middle of the chunk, the transfer is dropped before anybody else has begun, and all its bytes come again. Cause: such requests were canceled at the first stall, other ones only after the next source had been asked and four more periods. Change: within a body the next source is asked as well, from the budget of hedged requests, and the first to finish wins. Without budget, before the first byte, or over a narrow link, where the next source would wait for this chunk, it is dropped as before: nothing has arrived yet, or a holder that is gone would delay the chunk for 3.5 s. Test before: holder silent for two periods within each of four chunks, origin away: "context deadline exceeded" after 20 s.

--- a/distributor/attempt.go
+++ b/distributor/attempt.go
@@ -110,7 +110,7 @@
 			wait = 0
 		}
 		asked := f.Now()
-		w := newWatchdog(wait+f.Stall, f.Stall, cancel, func() {
+		w := newWatchdog(wait+f.Stall, f.Stall, cancel, func(bool) {
 			if !f.hedgeBudget.withdraw() {
 				return
 			}
@@ -127,7 +127,7 @@
 		case state == "":
 			return nil
 		case len(r.holders) > 0:
-			if t.askHolders(ctx, r.holders, s.Level) {
+			if t.askHolders(ctx, r.holders, s.Level, hedge) {
 				return nil
 			}
 			seenHolders = r.holderCount
@@ -172,14 +172,14 @@
 
 // askHolders asks instances that got the chunk from a busy source, without waiting, and
 // reports whether one sent it.
-func (t *task) askHolders(ctx context.Context, names []recorder.Name, l Level) bool {
+func (t *task) askHolders(ctx context.Context, names []recorder.Name, l Level, hedge func(error)) bool {
 	for _, n := range names {
 		m, ok := t.member(n)
 		if !ok || n == t.f.Self.Instance || !t.f.peers.admit(m.Address, t.f.Now()) {
 			continue
 		}
 		ctx, cancel := context.WithCancelCause(ctx)
-		r, err := t.askHolder(ctx, cancel, Source{Member: m, Level: l})
+		r, err := t.askHolder(ctx, cancel, Source{Member: m, Level: l}, hedge)
 		stalled := errors.Is(context.Cause(ctx), errStall)
 		cancel(nil)
 		switch {
@@ -196,13 +196,22 @@
 }
 
 // askHolder sends one request to an instance that got the chunk. The time in which the
-// instance must answer begins once the link of this one is free for the chunk.
-func (t *task) askHolder(ctx context.Context, cancel context.CancelCauseFunc, s Source) (reply, error) {
+// instance must answer begins once the link of this one is free for the chunk. If it falls
+// silent within the chunk, the next source is asked as well, unless the budget is used up or
+// a narrow link would keep that one waiting for this chunk.
+func (t *task) askHolder(ctx context.Context, cancel context.CancelCauseFunc, s Source, hedge func(error)) (reply, error) {
 	c, err := t.claim(ctx)
 	if err != nil {
 		return reply{}, err
 	}
-	w := newWatchdog(t.f.Stall, t.f.Stall, cancel, func() { cancel(errStall) })
+	w := newWatchdog(t.f.Stall, t.f.Stall, cancel, func(begun bool) {
+		if !begun || c.narrow || !t.f.hedgeBudget.withdraw() {
+			cancel(errStall)
+			return
+		}
+		t.f.peers.fail(s.Member.Address, t.f.Now())
+		hedge(errStall)
+	})
 	defer w.stop()
 	return t.get(ctx, s, query{seenHolders: -1}, w, c)
 }
@@ -300,7 +309,7 @@
 	}
 	d := t.chunks[t.chunk]
 	f.Store.setWaitChain(d, nil)
-	w := newWatchdog(f.Stall, f.Stall, cancel, func() { hedge(errStall) })
+	w := newWatchdog(f.Stall, f.Stall, cancel, func(bool) { hedge(errStall) })
 	defer w.stop()
 	c := f.Link.originClaim(t.sizes[t.chunk])
 	body, size, err := f.Origin.Fetch(ctx, d)
--- a/distributor/silence_test.go
+++ b/distributor/silence_test.go
@@ -91,3 +91,24 @@
 	Expect(fetchWithoutOrigin(t, w, member("peer", p.Server))).To(Succeed())
 	Expect(p.asked.Load()).To(BeNumerically("==", len(w.manifest.Chunks)))
 }
+
+// Guards against a transfer from an instance that a busy source named and that is dropped at
+// its first silence, though no other source has begun.
+func TestHolderSilent(t *testing.T) {
+	RegisterTestingT(t)
+	w := newWeights("abcd")
+	holder := newSilentPeer(t, w, 1)
+	busy := httptest.NewServer(http.HandlerFunc(func(r http.ResponseWriter, q *http.Request) {
+		r.Header().Set("Eelgrass-Chunk", "busy")
+		if q.URL.Query().Get("seen-holders") == "0" {
+			r.Header().Set("Eelgrass-Holder-Count", "2")
+			r.Header().Set("Eelgrass-Holders", "holder")
+		}
+		r.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer busy.Close()
+	h := member("holder", holder.Server)
+	h.Empty = true
+	Expect(fetchWithoutOrigin(t, w, member("busy", busy), h)).To(Succeed())
+	Expect(holder.asked.Load()).To(BeNumerically("==", len(w.manifest.Chunks)))
+}
--- a/distributor/watch.go
+++ b/distributor/watch.go
@@ -11,13 +11,14 @@
 const minProgressBytes = 512
 
 // watchdog detects that too few bytes arrive. It calls hedge once after the first stall
-// period, and cancels the request after cancelStalls further ones in which nothing came.
+// period, with whether any bytes arrived before, and cancels the request after cancelStalls
+// further ones in which nothing came.
 type watchdog struct {
 	stall time.Duration
 
 	mu      sync.Mutex
 	timer   *time.Timer
-	hedge   func()
+	hedge   func(begun bool)
 	cancel  context.CancelCauseFunc
 	fired   bool
 	stopped bool
@@ -29,7 +30,7 @@
 
 // newWatchdog starts a watchdog; the first byte is due within begin, and then
 // minProgressBytes in each stall period.
-func newWatchdog(begin, stall time.Duration, cancel context.CancelCauseFunc, hedge func()) *watchdog {
+func newWatchdog(begin, stall time.Duration, cancel context.CancelCauseFunc, hedge func(begun bool)) *watchdog {
 	w := &watchdog{stall: stall, hedge: hedge, cancel: cancel}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -47,7 +48,7 @@
 	default:
 		w.fired = true
 		w.timer.Reset(cancelStalls * w.stall)
-		w.hedge()
+		w.hedge(w.begun)
 	}
 }
 
