dispatcher: hold requests while agents are silent for 2 s

What callers saw: no version may be used and all engines are about to load. If their agents fall silent for 1.5 s, requests get 503 no-endpoint instead of waiting for the first engine, and come back while there is none yet. Cause: an instance counted as about to load only for 1.2 s after a report. Change: 2.4 s, the bound of the load and the version. The limits of a held request (HoldUntil, five seconds of an outage) stay. Test before: "agents silent for 1500ms: got acquire: no-endpoint". After 2.5 s the request must be refused at once, as before. Ruled out: requests that are held already; they stay in the queue.

--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -67,5 +67,5 @@
 // its instance reports, so that it is about to get them.
 func (n *node) isLoading(r Request, now time.Time) bool {
 	return !n.Draining && !n.isLeaving() && !n.isReplaced() && r.Match.Allows(n.Region) && !slices.Contains(r.Exclude, n.ID) &&
-		now.Sub(n.reportedAt) <= reportMaxAge
+		now.Sub(n.reportedAt) <= silentReportMaxAge
 }
--- a/dispatcher/hold_test.go
+++ b/dispatcher/hold_test.go
@@ -123,3 +123,23 @@
 		t.Errorf("got %s", s)
 	}
 }
+
+// Agents that are silent for 1.5 s while their engines load must not have requests refused
+// that wait for the first engine. When they have been silent for longer, no end is in sight.
+func TestHeldWhileAgentsAreSilent(t *testing.T) {
+	for silence, held := range map[string]bool{"1500ms": true, "2500ms": false} {
+		w := newHarness()
+		w.run("endpoint e1 a 1")
+		w.untilNoVersionMayBeUsed()
+		w.run("report e1 1 0")
+		w.run("sleep " + silence)
+		got := w.acquireHeld(t, 1)
+		for w.d.Status()[0].Queued < 1 && len(got) < 1 {
+			time.Sleep(time.Millisecond)
+		}
+		w.run("report e1 2 0")
+		if s := <-got; (s == "e1") != held {
+			t.Errorf("agents silent for %s: got %s", silence, s)
+		}
+	}
+}
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -13,10 +13,10 @@
 	// reportMaxAge is the age up to which a report is used; reports arrive five times a
 	// second.
 	reportMaxAge = 1200 * time.Millisecond
-	// silentReportMaxAge is the same for the load and the version. An agent may be silent
-	// for two seconds and go on, and two reports are due then. The load of the other
-	// gateways changes less in that time than an assumption would be wrong, and a process
-	// loads only newer versions.
+	// silentReportMaxAge is the same for the load, the version and whether the endpoint is
+	// about to get weights. An agent may be silent for two seconds and go on, and two
+	// reports are due then. The load of the other gateways changes less in that time than
+	// an assumption would be wrong, and a process loads only newer versions.
 	silentReportMaxAge = 2400 * time.Millisecond
 	// reportTimeout is the time without a report or a response after which an endpoint
 	// whose instance has reported before is suspected to be lost or cut off; four reports
