agent: keep a plain service that is silent for 2 s in service

What callers saw: a service that takes no connections for a second (its queue of connections is full while it is silent) is out of service: its endpoint gets no calls, and gateways cancel the idempotent ones that it works on, as the endpoint has the state EMPTY. Cause: one probe without a response within its second counted like a refused one. Change: two of them in a row keep the state; the third one ends it, 3 s after the silence began. A refused connection ends it at once, as before. Test before: "out of service after 1.001844347s of silence". Ruled out: a longer time-out of the probe. The kernel repeats a lost first packet after 1 and 3 s, so one probe doesn't tell a silence of 2 s from a service that is gone.

--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -27,6 +27,9 @@
 const (
 	// probeInterval is the time between two looks at whether the service answers.
 	probeInterval = time.Second
+	// maxSilentProbes is the number of probes in a row without a response after which the
+	// service stays in service. Each takes probeInterval, and callers wait for two seconds.
+	maxSilentProbes = 2
 	// maxAnswer bounds the answer of a plain service in bytes.
 	maxAnswer = 16 << 20
 )
@@ -80,12 +83,18 @@
 	return g.Wait()
 }
 
-// probe looks whether the service takes connections.
+// probe looks whether the service takes connections. One that refuses them is gone, but one
+// that doesn't respond may be sound and go on.
 func (s *service) probe(ctx context.Context) error {
 	t := time.NewTicker(probeInterval)
 	defer t.Stop()
+	silent := 0
 	for {
-		up := s.dial(ctx) == nil
+		err := s.dial(ctx)
+		if silent++; !isTimeout(err) {
+			silent = 0
+		}
+		up := err == nil || silent > 0 && silent <= maxSilentProbes && s.up.Load()
 		if s.up.Swap(up) != up {
 			s.agent.Log.Info().Bool("up", up).Msg("service probed")
 			s.agent.changed.Fire()
@@ -100,6 +109,11 @@
 	}
 }
 
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) && n.Timeout()
+}
+
 func (s *service) dial(ctx context.Context) error {
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, s.agent.Target, http.NoBody)
 	if err != nil {
