forwarder: ask another endpoint beside one that doesn't read

Callers with a body beyond the buffers of the connection waited until their deadline while the endpoint read nothing, or until the kernel ended the connection, which takes up to 4.7 s since path silences are outlasted.

Cause: an endpoint counted as silent only from the end of the request's write. Change: the request is written in parts of 64 KiB, each of which is due in the time of a first byte; an endpoint that reads slowly isn't silent.

Failed before: "context deadline exceeded after 1 dials" (3 s); now a second endpoint answers.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -189,7 +189,7 @@
 	if c.hasBody() {
 		h["Content-Length"] = []string{strconv.Itoa(len(c.body))}
 	}
-	b := bufio.NewWriterSize(a.conn, bufferSize+len(c.body))
+	b := bufio.NewWriterSize(requestWriter{a}, bufferSize+len(c.body))
 	_, _ = fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.method, c.uri, c.host)
 	// A bufio.Writer returns its first error from Flush.
 	_ = h.Write(b)
@@ -198,6 +198,26 @@
 	return b.Flush()
 }
 
+// requestPartBytes is the size of the parts of a request that an endpoint has to read one
+// after the other, or it counts as silent.
+const requestPartBytes = 64 << 10
+
+// requestWriter writes a request in parts.
+type requestWriter struct{ attempt *attempt }
+
+// Write implements io.Writer.
+func (w requestWriter) Write(b []byte) (int, error) {
+	a, n := w.attempt, 0
+	for n < len(b) {
+		a.expect(a.hear().Add(a.firstPartTimeout()))
+		k, err := a.conn.Write(b[n:min(n+requestPartBytes, len(b))])
+		if n += k; err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
 // readHeaders reads the headers of the final response and skips interim responses.
 func (a *attempt) readHeaders() (*http.Response, error) {
 	a.conn.limitReads(maxResponseHeaderBytes)
--- a/forwarder/hedge_test.go
+++ b/forwarder/hedge_test.go
@@ -7,6 +7,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -93,3 +96,44 @@
 		t.Error("an endpoint still works on the request a second later")
 	}
 }
+
+// An endpoint that doesn't read a request whose body exceeds the buffers of the connection must
+// not keep the caller from another one.
+func TestEndpointThatReadsNothing(t *testing.T) {
+	f, all := newHandlerWithTimeout(t, 2, 6*time.Second)
+	dials := atomic.Int32{}
+	f.Transport = &forwarder.Transport{Dial: func(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
+		var d net.Dialer
+		if dials.Add(1) == 1 {
+			return d.DialContext(ctx, "tcp", unreadAddress(t))
+		}
+		return d.DialContext(ctx, "tcp", a.String())
+	}}
+	s := &script{}
+	for _, b := range all {
+		b.script = s
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	q := newRequest(ctx, serve(t, f), "any", "id-1")
+	body := strings.NewReader(strings.Repeat("x", 4<<20-1))
+	q.Body, q.ContentLength = io.NopCloser(body), int64(body.Len())
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		t.Fatalf("the caller got %v after %d dials", err, dials.Load())
+	}
+	defer func() { _ = r.Body.Close() }()
+	if r.StatusCode != http.StatusOK {
+		t.Errorf("the caller got status %d", r.StatusCode)
+	}
+}
+
+// unreadAddress returns an address at which connections are accepted and never read.
+func unreadAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String()
+}
