gateway: keep a silent attempt until another one answers

Callers saw: the answer of a sound endpoint that was silent for 1.5 s and then went on was lost where its agent reported a lost engine meanwhile (a read of the engine's state that fails or takes 2 s, a probe of a service that takes 1 s), or where its status was withdrawn as the agent changed its gateway. A stream ended in an error event, another call in 502, although nothing else could take the call.

Cause: the watchdog cancelled the attempt before it was known whether tries, budget and another endpoint were left, or whether that one would answer.

Change: each attempt runs by itself. The watchdog only tells the call, which begins another attempt if all that run are silent and tries, budget and an endpoint allow. The one that has the next event or the whole answer first goes on, the other is cancelled; both hold their slots until then. A frame is written under the call's lock by the attempt that claims the call, so events of two attempts can't mix. Without a successor the silent attempt goes on to the deadline, and the watchdog looks again every 500 ms. The time at which a dead endpoint is left is the same as before.

Test before (testdata/attempts, 14 cases with "quiet"): 11 lost the answer, as "stream stopped at frame 2: the endpoint fell silent" and 502 "the endpoint fell silent", with one endpoint, without budget, with a successor that refused, dropped, answered 400 or 409 or was silent itself. The two cases of a dead endpoint and the one of a booking were right before and are unchanged. Two cases of a dead endpoint alone are new: 504 at the deadline. All pass now, with -race.

Ruled out: a silence of 1.5 s alone ends nothing here, as frames may take 5 s and reports 5 s. The watchdog doesn't watch calls that must not be repeated.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,21 +27,22 @@
 	maxBufferedResponse = 16 << 20
 )
 
-// attempt sends the call to p and forwards the response to the caller.
-func (c *call) attempt(ctx context.Context, p target, w *watchdog) attemptResult {
+// make sends the call to the endpoint and forwards the response to the caller.
+func (a *attempt) make() attemptResult {
+	c, p := a.call, a.target
 	g := c.gateway
 	g.Log.Info().Str("request-id", c.id).Str("account", string(c.account.Name)).Str("serves", c.serves).
 		Str("endpoint", string(p.name)).Str("version", string(p.version)).Uint64("revision", c.revision).
-		Str("reason", p.reason).Int("try", c.tries).Msg("route")
-	r, err := g.send(ctx, c.request(p), p)
+		Str("reason", p.reason).Int("try", a.number).Msg("route")
+	r, err := g.send(a.ctx, a.request, p)
 	if err != nil {
-		return c.attemptFailed(ctx, p, err)
+		return c.attemptFailed(a.ctx, p, err)
 	}
 	defer func() { _ = r.Body.Close() }()
 	if !p.remote {
 		g.table.Observe(p.name, header.Int(r.Header, header.Limit, 0), header.Int(r.Header, header.InFlight, 0))
 	}
-	g.counters.attempt(ctx, c.serves, r.Header.Get(header.Outcome))
+	g.counters.attempt(a.ctx, c.serves, r.Header.Get(header.Outcome))
 	if o := r.Header.Get(header.Outcome); o != header.Run {
 		return c.refused(p, r)
 	}
@@ -49,20 +50,29 @@
 		return attemptResult{outcome: retrier.Failed, reason: "version", detail: "the answer came from version " + string(v)}
 	}
 	if strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream") {
-		return c.copyStream(ctx, p, r, w)
+		return a.copyStream(r)
 	}
-	if c.out != nil {
+	if c.hasStarted() {
 		// The caller already has the beginning of a stream; only a resumed stream
 		// can continue it.
 		return attemptResult{outcome: retrier.Failed, reason: "resume", detail: "the endpoint did not resume the stream"}
 	}
-	return c.copyBuffered(ctx, p, r)
+	return a.copyBuffered(r)
+}
+
+// hasStarted reports whether the caller has the beginning of a stream.
+func (c *call) hasStarted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.out != nil
 }
 
 // acceptsVersion reports whether v, the version that a response names, is the
 // pinned one. A gateway of another failure domain chooses the version itself
 // when none is pinned.
 func (c *call) acceptsVersion(p target, v recorder.Name) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	switch {
 	case !strings.HasPrefix(c.serves, "model/"):
 		return true
@@ -143,8 +153,8 @@
 	if connector.IsDialError(err) {
 		a.outcome, a.detail = retrier.NotRun, "the endpoint can't be reached"
 	}
-	if errors.Is(context.Cause(ctx), errSilent) {
-		a.reason, a.detail = "silent", errSilent.Error()
+	if errors.Is(context.Cause(ctx), errOvertaken) {
+		a.reason, a.detail = "overtaken", errOvertaken.Error()
 	} else if ctx.Err() != nil {
 		a.reason, a.detail = "deadline", "the deadline passed while the endpoint worked"
 	}
@@ -171,68 +181,54 @@
 	if a.reason != limitReason && o != retrier.Unknown && !p.remote {
 		c.gateway.table.Avoid(p.name, time.Now().Add(avoidDuration))
 	}
-	if !c.ran && (r.StatusCode == http.StatusConflict || r.StatusCode == http.StatusBadRequest) {
+	if r.StatusCode == http.StatusConflict || r.StatusCode == http.StatusBadRequest {
 		// The request is invalid, or the first call with its key is still running.
 		// Another endpoint would answer the same. After an attempt that may have run, the
 		// caller gets what is known of that one.
-		a.finished = true
-		c.writeResponse(r, b)
+		a.response, a.body = r, b
 	}
 	return a
 }
 
 // copyStream verifies each frame of the stream and forwards it to the caller.
-func (c *call) copyStream(ctx context.Context, p target, r *http.Response, w *watchdog) attemptResult {
-	c.version = recorder.Name(r.Header.Get(header.Version))
-	in := &streamer.Reader{In: r.Body, Request: c.id, From: c.position}
-	first := c.out == nil
-	if first {
-		c.w.Header().Set(header.Version, string(c.version))
-		c.out = &streamer.Writer{Out: c.w, Form: streamer.Caller, Request: c.id}
-	}
+func (a *attempt) copyStream(r *http.Response) attemptResult {
+	c := a.call
+	in := &streamer.Reader{In: r.Body, Request: c.id, From: a.from}
+	version := recorder.Name(r.Header.Get(header.Version))
 	for {
 		f, err := in.Next()
 		if errors.Is(err, io.EOF) {
-			c.recordSuccess(p, http.StatusOK)
+			c.recordSuccess(a, http.StatusOK)
 			return attemptResult{finished: true}
 		}
 		if err != nil {
-			c.position = in.Position()
-			if !c.out.Started() {
-				c.version, c.out = "", nil
-			}
 			return attemptResult{outcome: retrier.Failed, reason: streamer.FaultOf(err).String(), detail: "the stream broke: " + err.Error()}
 		}
-		w.recordFrame()
-		if first {
-			first = false
-			c.gateway.counters.firstByte(ctx, c.serves, time.Since(c.begun))
-		}
-		if err := c.out.Frame(f); err != nil {
-			c.gateway.Log.Info().Str("request-id", c.id).Err(err).Msg("caller disconnected")
-			panic(http.ErrAbortHandler)
+		a.watch.recordFrame()
+		if !a.writeFrame(f, version) {
+			return attemptResult{outcome: retrier.Failed, reason: "overtaken", detail: errOvertaken.Error()}
 		}
 	}
 }
 
 // copyBuffered reads a complete response before forwarding it, so that a truncated
 // one is never forwarded.
-func (c *call) copyBuffered(ctx context.Context, p target, r *http.Response) attemptResult {
+func (a *attempt) copyBuffered(r *http.Response) attemptResult {
 	b, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedResponse+1))
 	if err != nil {
-		a := attemptResult{outcome: retrier.Unknown, reason: "cut", detail: "the answer was cut"}
-		if ctx.Err() != nil {
-			a.reason, a.detail = "deadline", "the deadline passed during the answer"
+		n := attemptResult{outcome: retrier.Unknown, reason: "cut", detail: "the answer was cut"}
+		if a.ctx.Err() != nil {
+			n.reason, n.detail = "deadline", "the deadline passed during the answer"
 		}
-		return a
+		return n
 	}
 	if len(b) > maxBufferedResponse {
 		return attemptResult{outcome: retrier.Unknown, reason: "oversized", detail: "the answer is larger than 16 MiB"}
 	}
-	c.version = recorder.Name(r.Header.Get(header.Version))
-	c.gateway.counters.firstByte(ctx, c.serves, time.Since(c.begun))
-	c.writeResponse(r, b)
-	c.recordSuccess(p, r.StatusCode)
+	if !a.writeWhole(r, b) {
+		return attemptResult{outcome: retrier.Failed, reason: "overtaken", detail: errOvertaken.Error()}
+	}
+	a.call.recordSuccess(a, r.StatusCode)
 	return attemptResult{finished: true}
 }
 
--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,6 +45,8 @@
 	seen []string
 	// ran counts the attempts that were not refused.
 	ran int
+	// report tells the gateway that an endpoint has lost its engine, or has it back.
+	report func(name string, lost bool)
 }
 
 // next returns the script line of this attempt. After the last line, endpoints
@@ -63,8 +66,9 @@
 }
 
 // serve answers one attempt by its script line: whole [VERSION], refuse REASON,
-// fail, unknown, drop, cut, bare, invalid STATUS, or stream VERSION FRAMES [cut].
-// "foreign" before it answers another request, "old" leaves the request id out.
+// fail, unknown, drop, cut, bare, invalid STATUS, or stream VERSION FRAMES [cut] or
+// [quiet MS FRAMES]. "foreign" before it answers another request, "old" leaves the
+// request id out, "quiet MS" is silent before it answers.
 func (e *scriptedEndpoints) serve(name string, w http.ResponseWriter, q *http.Request) {
 	_, _ = io.Copy(io.Discard, q.Body)
 	s := append(e.next(name, q), "", "", "", "")
@@ -79,6 +83,9 @@
 	case "old":
 		h.Del(header.RequestID)
 		s = s[1:]
+	case "quiet":
+		e.quiet(q, name, s[1])
+		s = s[2:]
 	}
 	switch s[0] {
 	case "whole":
@@ -107,26 +114,48 @@
 		_, _ = io.WriteString(w, "ans")
 	case "stream":
 		h.Set(header.Version, s[1])
-		writeStream(w, q, s[2], s[3] == "cut")
+		to := writeStream(w, q, 0, s[2])
+		if s[3] == "quiet" {
+			e.quiet(q, name, s[4])
+			to = writeStream(w, q, to, s[5])
+		}
+		if s[3] == "cut" {
+			panic(http.ErrAbortHandler)
+		}
+		endStream(w, q, to)
 	default:
 		panic(http.ErrAbortHandler)
 	}
 }
 
-// writeStream writes the frames up to the given number and then the end frame,
-// unless cut is set.
-func writeStream(w http.ResponseWriter, q *http.Request, frames string, cut bool) {
-	from := uint64(header.Int(q.Header, header.ResumeFrom, 0))
+// quiet is an endpoint that falls silent, which its agent reports as a lost engine, and
+// then goes on.
+func (e *scriptedEndpoints) quiet(q *http.Request, name, ms string) {
+	n, _ := strconv.Atoi(ms)
+	e.report(name, true)
+	select {
+	case <-time.After(time.Duration(n) * time.Millisecond):
+	case <-q.Context().Done():
+	}
+	e.report(name, false)
+}
+
+// writeStream writes the frames from the given number, or from the one at which the
+// request resumes, up to another, and returns that.
+func writeStream(w http.ResponseWriter, q *http.Request, from uint64, frames string) uint64 {
+	from = max(from, uint64(header.Int(q.Header, header.ResumeFrom, 0)))
 	s := &streamer.Writer{Out: w, Form: streamer.Hop, Request: q.Header.Get(header.RequestID), From: from}
 	to := uint64(0)
 	_, _ = fmt.Sscan(frames, &to)
 	for n := from; n < to; n++ {
 		_ = s.Frame(streamer.Frame{Request: s.Request, Sequence: n, Data: fmt.Appendf(nil, `{"n":%d}`, n)})
 	}
-	if cut {
-		panic(http.ErrAbortHandler)
-	}
-	_ = s.Frame(streamer.Frame{Request: s.Request, Sequence: to, End: true, Count: to})
+	return max(from, to)
+}
+
+func endStream(w http.ResponseWriter, q *http.Request, n uint64) {
+	s := &streamer.Writer{Out: w, Form: streamer.Hop, Request: q.Header.Get(header.RequestID), From: n}
+	_ = s.Frame(streamer.Frame{Request: s.Request, Sequence: n, End: true, Count: n})
 }
 
 // newTestGateway returns a gateway that knows two endpoints for a model and for
@@ -154,20 +183,37 @@
 	b, err := r.Encode()
 	check(t, err)
 	check(t, g.replica.Apply(1, b))
+	addresses := make(map[string]netip.AddrPort)
 	for _, n := range []string{"a", "b"} {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { e.serve(n, w, q) }))
 		t.Cleanup(s.Close)
-		for _, serves := range []string{"model/m", "service/booking"} {
-			g.table.Update(router.Endpoint{
-				Instance: recorder.Name(n + "-" + serves[:5]), FailureDomain: "tanta", Region: "delta", Serves: serves,
-				Address: netip.MustParseAddrPort(s.Listener.Addr().String()), BootID: "boot", Sequence: 1,
-				State: router.Ready, Version: "v1", Limit: 10, Seen: time.Now(),
-			})
+		addresses[n] = netip.MustParseAddrPort(s.Listener.Addr().String())
+		addEndpoints(g, n, addresses[n], 1, router.Ready)
+	}
+	sequence := atomic.Uint64{}
+	sequence.Store(1)
+	e.report = func(name string, lost bool) {
+		state := router.Ready
+		if lost {
+			state = router.Empty
 		}
+		addEndpoints(g, name, addresses[name], sequence.Add(1), state)
 	}
 	return g
 }
 
+// addEndpoints updates the status of the endpoints of a stand-in for the model and the service.
+func addEndpoints(g *Gateway, name string, address netip.AddrPort, sequence uint64, state router.State) {
+	for _, serves := range []string{"model/m", "service/booking"} {
+		g.table.Update(router.Endpoint{
+			Instance: endpointName(name, serves), FailureDomain: "tanta", Region: "delta", Serves: serves,
+			Address: address, BootID: "boot", Sequence: sequence, State: state, Version: "v1", Limit: 10, Seen: time.Now(),
+		})
+	}
+}
+
+func endpointName(name, serves string) recorder.Name { return recorder.Name(name + "-" + serves[:5]) }
+
 func check(t *testing.T, err error) {
 	t.Helper()
 	if err != nil {
@@ -186,8 +232,10 @@
 
 // Guards against responses that are mixed from several attempts, truncated or of
 // another version, against running a non-idempotent call twice, and against the
-// outcome "not-run" for a request that may have run. Each case is one
-// request; each line of its script is the response of an endpoint to one attempt.
+// outcome "not-run" for a request that may have run, and against answers that are
+// lost because their endpoint was silent for a moment. Each case is one request; each
+// line of its script is the response of an endpoint to one attempt. "alone" leaves one
+// endpoint, "no-retries" takes the budget.
 func TestAttempts(t *testing.T) {
 	datadriven.RunTest(t, "testdata/attempts", func(t *testing.T, d *datadriven.TestData) string {
 		q, ok := requests[d.Cmd]
@@ -204,6 +252,13 @@
 				g.budget.Offer()
 			}
 		}
+		if d.HasArg("no-retries") {
+			g.budget.Share = -1
+		}
+		if d.HasArg("alone") {
+			g.table.Remove(endpointName("b", "model/m"))
+			g.table.Remove(endpointName("b", "service/booking"))
+		}
 		s := httptest.NewServer(g.callerRoutes())
 		defer s.Close()
 		r, err := http.NewRequest(q.method, s.URL+q.path, strings.NewReader(q.body))
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,9 +43,29 @@
 	key    string
 	prefix uint64
 
+	// mu guards the fields up to answered, which running attempts use, and what they
+	// write to the caller.
+	mu sync.Mutex
+	// running holds the attempts that have not ended. Only serve changes it.
+	running []*attempt
 	// version is the model version that later attempts must use, pinned by the
 	// first frame sent to the caller.
 	version recorder.Name
+	// out writes a stream to the caller; nil before the first frame.
+	out *streamer.Writer
+	// position is the sequence number from which a broken stream resumes.
+	position uint64
+	// answered is set when the caller has the whole answer.
+	answered bool
+
+	// ended gets each attempt when it has ended, silent a signal while the endpoint of
+	// one is silent.
+	ended  chan *attempt
+	silent chan struct{}
+	// last is the result of the last attempt that failed.
+	last attemptResult
+	// waitReason is the reason last logged for the wait for a silent endpoint.
+	waitReason string
 	// tried and triedDomains are excluded from further picks.
 	tried, triedDomains []recorder.Name
 	tries               int
@@ -52,10 +73,6 @@
 	ran bool
 	// limitRefusals counts the refusals by endpoints at their limit.
 	limitRefusals int
-	// out writes a stream to the caller; nil before the first attempt.
-	out *streamer.Writer
-	// position is the sequence number from which a broken stream resumes.
-	position uint64
 }
 
 // target is the destination of an attempt: an endpoint, or a gateway of another
@@ -81,6 +98,10 @@
 	// reason is a kebab-case word, detail a sentence.
 	reason, detail string
 	retryAfter     time.Duration
+	// response and body are the endpoint's refusal of an invalid request, for the
+	// caller if no attempt may have run; otherwise nil.
+	response *http.Response
+	body     []byte
 }
 
 const (
@@ -98,39 +119,19 @@
 
 // serve makes attempts until the final response is sent.
 func (c *call) serve() {
-	g := c.gateway
 	ctx, stop := context.WithDeadline(c.q.Context(), c.deadline)
 	defer stop()
-	g.budget.Offer()
-	last := attemptResult{outcome: retrier.NotRun, reason: "no-endpoint"}
-	for {
+	c.ended, c.silent = make(chan *attempt), make(chan struct{}, 1)
+	defer c.end()
+	c.gateway.budget.Offer()
+	c.last = attemptResult{outcome: retrier.NotRun, reason: "no-endpoint"}
+	for more := true; more; more = c.await(ctx) {
 		p, err := c.pick(ctx)
 		if err != nil {
-			c.giveUp(last, err)
-			return
-		}
-		c.tries++
-		last = c.try(ctx, p)
-		if last.finished {
-			return
-		}
-		if c.waitAfterLimitRefusal(ctx, last) {
-			continue
-		}
-		c.ran = c.ran || last.outcome != retrier.NotRun
-		if p.remote {
-			c.triedDomains = append(c.triedDomains, p.name)
-		} else {
-			c.tried = append(c.tried, p.name)
-		}
-		d := c.decideRetry(last)
-		g.Log.Info().Str("request-id", c.id).Int("try", c.tries).Str("endpoint", string(p.name)).
-			Stringer("outcome", last.outcome).Str("cause", last.reason).Bool("retry", d.Retry).Str("reason", d.Reason).
-			Msg("retry decision")
-		if !d.Retry {
-			c.giveUp(last, nil)
+			c.giveUp(c.last, err)
 			return
 		}
+		c.begin(ctx, p)
 	}
 }
 
@@ -150,21 +151,6 @@
 	}
 }
 
-// try makes one attempt and records its result in the endpoint table, unless the
-// caller disconnected. It calls p.done in every case.
-func (c *call) try(ctx context.Context, p target) attemptResult {
-	defer p.done()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	w := watchEndpoint(c, p, cancel)
-	defer w.end()
-	a := c.attempt(ctx, p, w)
-	if p.reportResult != nil && c.q.Context().Err() == nil {
-		p.reportResult(!a.finished && a.outcome != retrier.NotRun)
-	}
-	return a
-}
-
 // decideRetry decides whether to make another attempt. A broken stream resumes at
 // another endpoint of the same version, so a partly sent response does not rule
 // out a retry.
@@ -194,10 +180,13 @@
 func (c *call) pickOnce() (target, error) {
 	g := c.gateway
 	s := g.replica.Current()
+	c.mu.Lock()
+	version := c.version
+	c.mu.Unlock()
 	err := error(&router.Error{Op: "pick endpoint", Kind: classifier.Unavailable, Err: errors.New("the failure domain is out")})
 	if !s.IsOut(g.FailureDomain) || g.foreignEndpoints.Load() > 0 {
 		var p router.Pick
-		r := router.Request{Serves: c.serves, Version: c.version, Prefix: c.prefix, Exclude: c.excluded(s)}
+		r := router.Request{Serves: c.serves, Version: version, Prefix: c.prefix, Exclude: c.excluded(s)}
 		k := &g.picker
 		if c.key != "" {
 			// Hashing the key sends repeats through other gateways of the failure
@@ -218,8 +207,8 @@
 		}
 	}
 	full := classifier.Of(err) != classifier.Exhausted
-	if v, ok := g.pickDomain(c.serves, c.version, c.triedDomains, full); ok {
-		n := target{name: v.domain, address: v.address, version: c.version, remote: true, reason: "spill-over"}
+	if v, ok := g.pickDomain(c.serves, version, c.triedDomains, full); ok {
+		n := target{name: v.domain, address: v.address, version: version, remote: true, reason: "spill-over"}
 		n.done = g.domains.count(v.domain, c.serves)
 		return n, nil
 	}
@@ -291,9 +280,9 @@
 }
 
 // recordSuccess logs and counts a call that succeeded.
-func (c *call) recordSuccess(p target, status int) {
+func (c *call) recordSuccess(a *attempt, status int) {
 	g := c.gateway
-	g.Log.Info().Str("request-id", c.id).Str("serves", c.serves).Str("endpoint", string(p.name)).Str("version", string(c.version)).
-		Int("status", status).Int("tries", c.tries).Dur("took-ms", time.Since(c.begun)).Msg("request completed")
+	g.Log.Info().Str("request-id", c.id).Str("serves", c.serves).Str("endpoint", string(a.target.name)).Str("version", string(c.version)).
+		Int("status", status).Int("tries", a.number).Dur("took-ms", time.Since(c.begun)).Msg("request completed")
 	g.counters.request(c.q.Context(), c.serves, header.Run, time.Since(c.begun))
 }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -1,12 +1,9 @@
 package gateway
 
 import (
-	"context"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/eelgrassdrift/eelgrassdrift/router"
 )
 
@@ -18,32 +15,26 @@
 	streamStallTimeout = 5 * time.Second
 )
 
-// errSilent is the cancellation cause of an attempt whose endpoint stopped
-// responding.
-var errSilent = errors.New("the endpoint fell silent")
-
-// watchdog cancels an attempt of an idempotent call when its endpoint stops
-// responding: its agent stopped reporting or restarted, it lost its engine, or a
-// stream stalled. Without it, a frozen process would block the call until its
-// deadline.
+// watchdog tells a call when the endpoint of an attempt stops responding: its agent
+// stopped reporting or restarted, it lost its engine, or a stream stalled. Without it, a
+// frozen process would block an idempotent call until its deadline. The endpoint may be
+// sound and go on, so the attempt is kept until another one has answered.
 type watchdog struct {
-	call   *call
-	target target
-	boot   string
-	cancel context.CancelCauseFunc
-	timer  *time.Timer
+	attempt *attempt
+	boot    string
+	timer   *time.Timer
 	// frame is the Unix time of the last frame in nanoseconds, 0 before the
 	// first one.
 	frame atomic.Int64
 	ended atomic.Bool
 }
 
-func watchEndpoint(c *call, p target, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{call: c, target: p, cancel: cancel}
-	if !c.idempotent {
+func watchEndpoint(a *attempt) *watchdog {
+	w := &watchdog{attempt: a}
+	if !a.call.idempotent {
 		return w
 	}
-	if e, ok := c.gateway.table.Get(p.name); ok {
+	if e, ok := a.call.gateway.table.Get(a.target.name); ok {
 		w.boot = e.BootID
 	}
 	w.timer = time.AfterFunc(watchInterval, w.check)
@@ -58,8 +49,10 @@
 		return
 	}
 	if w.isSilent() {
-		w.cancel(errSilent)
-		return
+		select {
+		case w.attempt.call.silent <- struct{}{}:
+		default:
+		}
 	}
 	w.timer.Reset(watchInterval)
 }
@@ -68,10 +61,10 @@
 	if f := w.frame.Load(); f != 0 && time.Since(time.Unix(0, f)) > streamStallTimeout {
 		return true
 	}
-	if w.target.remote {
+	if w.attempt.target.remote {
 		return false
 	}
-	e, ok := w.call.gateway.table.Get(w.target.name)
+	e, ok := w.attempt.call.gateway.table.Get(w.attempt.target.name)
 	return !ok || e.BootID != w.boot || e.State == router.Empty
 }
 
