agent: take a document cut by a close for an error

Callers saw: 200 with an empty or short body, framed as whole, from an engine or plain service that stopped after a head without a length (or within its head, if an empty line followed).

Cause: such a body ends where the connection is closed. The agent took the close for the end and passed the answer on, with a length or chunked, so that no hop after it could tell.

Change: a body that ends by the close must be a whole JSON document where its type says that it is one, and for a completion with status 200 always. Otherwise the attempt failed (engine, may be repeated) or its outcome is unknown (service). The agent reads such an answer of an engine before it passes it on and gives it a length. A close after any other type stays the end, as HTTP has it; a reset is an error in every case.

Known and not yet right in the recorded cases: HEAD has length 0, and 101 is passed on.

--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -207,11 +207,18 @@
 		v.fail(header.Failed, "engine", fmt.Sprintf("engine answered with status %d: %s", r.StatusCode, b))
 		return result{failed: true}
 	}
+	isStream := strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream")
+	if !isStream {
+		if err := giveLength(r); err != nil {
+			v.fail(header.Failed, "cut", "the engine's answer: "+err.Error())
+			return result{failed: ctx.Err() == nil}
+		}
+	}
 	v.stamp(header.Run, "")
 	h := v.w.Header()
 	h.Set(header.Version, string(p.Version))
 	h.Set(header.BootID, p.BootID)
-	if strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream") {
+	if isStream {
 		n := e.copyStream(ctx, v, r)
 		if n.failed {
 			// An engine that restarts breaks its streams and is cold afterwards.
--- a/internal/agent/requests_test.go
+++ b/internal/agent/requests_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -37,7 +38,8 @@
 }
 
 // ServeHTTP answers one request: whole VERSION BOOT, status CODE VERSION BOOT,
-// drop, cut, stall, or stream BOOT EVENT..., where an event is a sequence number,
+// drop, cut, stall, raw or raw-reset BYTES, where "|" is the end of a line and "@" the
+// lines that name version and boot, or stream BOOT EVENT..., where an event is a sequence number,
 // "foreign-N" or "end-N". A dash leaves a header out; "resumes" before the
 // events confirms the position asked for. "foreign" before it names another request.
 func (s *target) ServeHTTP(w http.ResponseWriter, q *http.Request) {
@@ -72,6 +74,8 @@
 		_, _ = io.WriteString(w, "ans")
 		_ = http.NewResponseController(w).Flush()
 		<-q.Context().Done()
+	case "raw", "raw-reset":
+		writeRaw(w, strings.Join(script[1:], " "), script[0] == "raw-reset")
 	case "stream":
 		name("v1", s.script[1])
 		s.stream(w, q)
@@ -80,6 +84,22 @@
 	}
 }
 
+// writeRaw writes the bytes as they are and closes the connection.
+func writeRaw(w http.ResponseWriter, b string, reset bool) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	b = strings.ReplaceAll(b, "@", header.Version+": v1|"+header.BootID+": boot|")
+	_, _ = io.WriteString(c, strings.ReplaceAll(b, "|", "\r\n"))
+	if reset {
+		// The other side reads what was written before it gets the reset.
+		time.Sleep(50 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 func (s *target) stream(w http.ResponseWriter, q *http.Request) {
 	id := q.Header.Get(header.CallerID)
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -168,8 +188,8 @@
 )
 
 // Guards against work that an endpoint must not take, against answers from
-// another version or boot than was read back, against mixed or cut streams, and
-// against "not run" for a call that the target got. Each case is one request:
+// another version or boot than was read back, against mixed or cut streams, against
+// cut answers that look whole, and against "not run" for a call that the target got. Each case is one request:
 // its arguments are the agent's state and the request's headers, its input is
 // what the target does.
 func TestRequests(t *testing.T) {
@@ -185,6 +205,8 @@
 		case "model":
 		case "post":
 			serves, path = "service/booking", "/booking/deposits"
+		case "head":
+			serves, method, path, body = "service/booking", "HEAD", "/booking/balance", ""
 		case "get":
 			serves, method, path, body = "service/booking", "GET", "/booking/balance", ""
 		default:
@@ -236,6 +258,9 @@
 	if w.Header().Get(header.RequestID) != q.Header.Get(header.RequestID) {
 		cut += " unnamed"
 	}
+	if q.Method == http.MethodHead {
+		cut += " length=" + w.Header().Get("Content-Length")
+	}
 	b := strings.TrimSpace(blank.ReplaceAllString(ports.ReplaceAllString(ids.ReplaceAllString(w.Body.String(), "ID"), "ADDRESS"), "\n"))
 	return fmt.Sprintf("%d outcome=%s reason=%s version=%s%s\n%s\n", w.Code, w.Header().Get(header.Outcome),
 		w.Header().Get(header.Reason), w.Header().Get(header.Version), cut, b)
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -230,10 +229,7 @@
 		return guarder.Answer{}, &Error{Op: "call service", Kind: classifier.OutcomeUnknown, Err: errors.New("the service did not answer")}
 	}
 	defer func() { _ = r.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(r.Body, maxAnswer+1))
-	if err == nil && len(b) > maxAnswer {
-		err = errors.Newf("the answer is larger than %d bytes", maxAnswer)
-	}
+	b, err := readWhole(r, isJSON(r))
 	if err != nil {
 		return guarder.Answer{}, &Error{Op: "read answer", Kind: classifier.OutcomeUnknown, Err: err}
 	}
