gateway: keep the length in the answer to a HEAD

Callers saw: "Content-Length: 0" in the answer to a HEAD at a plain service, where the service had named the length of its answer to a GET or none.

Cause: agent and gateway set the length to that of the body which they had read; an answer to a HEAD has none.

Change: both pass the service's length on, or name none if it named none.

Test before (testdata/requests, testdata/attempts): length=0 in place of 13, of none and of 6. Ruled out: answers 204 and 304 have no length through the gateway, as net/http leaves it out (new cases, right before).

--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -234,7 +234,12 @@
 		return guarder.Answer{}, &Error{Op: "read answer", Kind: classifier.OutcomeUnknown, Err: err}
 	}
 	n := guarder.Answer{Status: r.StatusCode, Body: b, Header: make(http.Header)}
-	for _, k := range []string{"Content-Type", "Location", "ETag", "Cache-Control", header.RetryAfter} {
+	names := []string{"Content-Type", "Location", "ETag", "Cache-Control", header.RetryAfter}
+	if v.q.Method == http.MethodHead {
+		// It is the length that the answer to a GET would have.
+		names = append(names, "Content-Length")
+	}
+	for _, k := range names {
 		if x := r.Header.Get(k); x != "" {
 			n.Header.Set(k, x)
 		}
@@ -254,7 +259,9 @@
 			v.w.Header()[x] = y
 		}
 		v.stamp(header.Run, "")
-		v.w.Header().Set("Content-Length", strconv.Itoa(len(n.Body)))
+		if v.q.Method != http.MethodHead {
+			v.w.Header().Set("Content-Length", strconv.Itoa(len(n.Body)))
+		}
 		v.w.WriteHeader(n.Status)
 		_, _ = v.w.Write(n.Body)
 		return n.Status >= http.StatusInternalServerError
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -240,7 +240,14 @@
 			h.Set(k, v)
 		}
 	}
-	h.Set("Content-Length", strconv.Itoa(len(b)))
+	if c.q.Method == http.MethodHead {
+		// It is the length that the answer to a GET would have.
+		if v := r.Header.Get("Content-Length"); v != "" {
+			h.Set("Content-Length", v)
+		}
+	} else {
+		h.Set("Content-Length", strconv.Itoa(len(b)))
+	}
 	c.w.WriteHeader(r.StatusCode)
 	_, _ = c.w.Write(b)
 }
--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -66,7 +66,7 @@
 }
 
 // serve answers one attempt by its script line: whole [VERSION], refuse REASON,
-// fail, unknown, drop, cut, bare, invalid STATUS, or stream VERSION FRAMES [cut] or
+// empty STATUS, fail, unknown, drop, cut, bare, invalid STATUS, or stream VERSION FRAMES [cut] or
 // [quiet MS FRAMES]. "foreign" before it answers another request, "old" leaves the
 // request id out, "quiet MS" is silent before it answers.
 func (e *scriptedEndpoints) serve(name string, w http.ResponseWriter, q *http.Request) {
@@ -88,6 +88,9 @@
 		s = s[2:]
 	}
 	switch s[0] {
+	case "empty":
+		n, _ := strconv.Atoi(s[1])
+		w.WriteHeader(n)
 	case "whole":
 		if s[1] != "" {
 			h.Set(header.Version, s[1])
@@ -228,6 +231,7 @@
 	"booking": {"POST", "/booking/deposits", "{}", ""},
 	"keyed":   {"POST", "/booking/deposits", "{}", "key-1"},
 	"balance": {"GET", "/booking/balance", "", ""},
+	"head":    {"HEAD", "/booking/balance", "", ""},
 }
 
 // Guards against responses that are mixed from several attempts, truncated or of
@@ -276,6 +280,9 @@
 		if err != nil {
 			out += " cut"
 		}
+		if q.method == http.MethodHead {
+			out += fmt.Sprintf(" length=%d", a.ContentLength)
+		}
 		return out + "\n" + strings.TrimSpace(blank.ReplaceAllString(ids.ReplaceAllString(string(b), "ID"), "\n")) + "\n"
 	})
 }
