agent: take a change of protocol for a failed answer

Callers saw: 101 from an engine or plain service that answered a plain request so, with outcome "run", though nobody had asked for another protocol.

Cause: net/http returns 101 as the final response, and the agent passed it on.

Change: 101 counts as no answer: failed at an engine, unknown at a service.

--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -251,7 +251,7 @@
 			q.Header.Set(k, s)
 		}
 	}
-	return e.agent.client.Do(q)
+	return send(e.agent.client, q)
 }
 
 func (e *engine) copyStream(ctx context.Context, v *visit, r *http.Response) result {
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -220,7 +220,7 @@
 	if n := v.q.Header.Get(header.IdempotencyKey); n != "" {
 		header.SetIdempotencyKey(q.Header, n)
 	}
-	r, err := s.client.Do(q)
+	r, err := send(s.client, q)
 	if err != nil {
 		s.agent.Log.Warn().Str("request-id", v.id).Err(err).Msg("service not reached")
 		if connector.IsDialError(err) {
--- a/internal/agent/whole.go
+++ b/internal/agent/whole.go
@@ -14,6 +14,17 @@
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 )
 
+// send sends a request to the target. A target that changes the protocol, which nobody asked
+// for, has not answered.
+func send(c *http.Client, q *http.Request) (*http.Response, error) {
+	r, err := c.Do(q)
+	if err == nil && r.StatusCode == http.StatusSwitchingProtocols {
+		_ = r.Body.Close()
+		return nil, errors.New("the target changed the protocol in place of an answer")
+	}
+	return r, err
+}
+
 // readWhole returns the body of an answer of at most maxAnswer bytes. A body that ends
 // where the connection is closed counts as whole unless it is a document that isn't: a
 // target that stops within its head or its body closes the connection in the same way.
