gateway: refuse an agent's response that ends by the close

Callers saw: 200 with an empty or short body, framed as whole, where the way to an agent broke off after a head without a length.

Cause: net/http takes the close for the end of such a body, and the gateway gave it a length. Agents never answer so: they give each response a length or send it in chunks.

Change: a response without either, and a change of protocol, is an error of the attempt; its outcome is unknown. Calls that may be repeated go on elsewhere.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -121,7 +121,8 @@
 }
 
 // send sends o to p and returns the response. A response that names another request is an
-// error; processes of older versions name none.
+// error; processes of older versions name none. So is one that ends where the connection is
+// closed: a process of this system gives each a length or sends it in chunks, so its head broke off.
 func (g *Gateway) send(ctx context.Context, o outgoing, p target) (*http.Response, error) {
 	scheme := "http"
 	if !g.TLS.IsZero() {
@@ -142,6 +143,10 @@
 		_ = r.Body.Close()
 		return nil, errors.Newf("response to request %q", id)
 	}
+	if connector.IsEndedByClose(r) || r.StatusCode == http.StatusSwitchingProtocols {
+		_ = r.Body.Close()
+		return nil, errors.Newf("response %s has neither a length nor chunks", r.Status)
+	}
 	return r, nil
 }
 
--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -68,7 +68,8 @@
 // serve answers one attempt by its script line: whole [VERSION], refuse REASON,
 // empty STATUS, fail, unknown, drop, cut, bare, invalid STATUS, or stream VERSION FRAMES [cut] or
 // [quiet MS FRAMES]. "foreign" before it answers another request, "old" leaves the
-// request id out, "quiet MS" is silent before it answers.
+// request id out, "quiet MS" is silent before it answers. "raw" closes the connection after
+// the bytes, in which "|" is the end of a line and "@" the lines of an agent's answer.
 func (e *scriptedEndpoints) serve(name string, w http.ResponseWriter, q *http.Request) {
 	_, _ = io.Copy(io.Discard, q.Body)
 	s := append(e.next(name, q), "", "", "", "")
@@ -115,6 +116,8 @@
 	case "cut":
 		h.Set("Content-Length", "100")
 		_, _ = io.WriteString(w, "ans")
+	case "raw":
+		writeRaw(w, q, strings.Join(s[1:], " "))
 	case "stream":
 		h.Set(header.Version, s[1])
 		to := writeStream(w, q, 0, s[2])
@@ -131,6 +134,17 @@
 	}
 }
 
+func writeRaw(w http.ResponseWriter, q *http.Request, b string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	b = strings.ReplaceAll(strings.TrimSpace(b), "@", header.Outcome+": run|"+header.Version+": v1|"+
+		header.RequestID+": "+q.Header.Get(header.RequestID)+"|")
+	_, _ = io.WriteString(c, strings.ReplaceAll(b, "|", "\r\n"))
+	_ = c.Close()
+}
+
 // quiet is an endpoint that falls silent, which its agent reports as a lost engine, and
 // then goes on.
 func (e *scriptedEndpoints) quiet(q *http.Request, name, ms string) {
