gateway: set the watchdog's timer before it can run

A caller would have noticed nothing: the first check comes 500 ms later.

Cause: the field was assigned after the timer had started.

Change: the timer is made with the longest time and then reset to its interval.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -37,7 +38,9 @@
 	if e, ok := a.call.gateway.table.Get(a.target.name); ok {
 		w.boot = e.BootID
 	}
-	w.timer = time.AfterFunc(watchInterval, w.check)
+	// check uses the field, so it must be set before the timer can run.
+	w.timer = time.AfterFunc(math.MaxInt64, w.check)
+	w.timer.Reset(watchInterval)
 	return w
 }
 
