gateway: wait for a silent connection beside another attempt

Callers saw: 503 "the endpoint can't be reached" after 1 s from the only endpoint, or without budget, or where the other endpoint refused, though the first one took the connection 1.5 s after it was asked. The refusal was true (not run), but the silence ended the request.

Cause: the dial was given up after 1 s before it was known whether another attempt could be made.

Change: for calls that may be repeated, no connection for 1 s is a silence like the others: another attempt begins beside it, and the dial goes on for up to 3 s. Whether the attempt had a connection is kept, so that one that ends without one, also at the deadline, is "not run". Calls that must not be repeated and requests of other gateways give the dial up after 1 s as before, and go elsewhere if they can.

Test before (testdata/attempts, 8 cases with "dial"): 503 not-run in four of the five cases where the connection took 1.5 s and the call may be repeated; 200 now. The fifth and the booking with two endpoints were right before. A booking with one endpoint is refused as before. With a dial longer than the deadline: 503 not-run before and after.

Ruled out: no case lost an answer that was on its way. A dead endpoint is left after 1 s as before; a call whose only endpoint is dead is refused after 3 s in place of 1.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,7 +36,7 @@
 		Str("reason", p.reason).Int("try", a.number).Msg("route")
 	r, err := g.send(a.ctx, a.request, p)
 	if err != nil {
-		return c.attemptFailed(a.ctx, p, err)
+		return c.attemptFailed(a.ctx, p, connector.IsDialError(err) || a.watch.hasSentNothing(), err)
 	}
 	defer func() { _ = r.Body.Close() }()
 	if !p.remote {
@@ -151,16 +151,16 @@
 }
 
 // attemptFailed returns the result of an attempt that got no response. The
-// outcome is NotRun for a dial error, otherwise Unknown.
-func (c *call) attemptFailed(ctx context.Context, p target, err error) attemptResult {
+// outcome is NotRun if nothing was sent, otherwise Unknown.
+func (c *call) attemptFailed(ctx context.Context, p target, sentNothing bool, err error) attemptResult {
 	g := c.gateway
 	a := attemptResult{outcome: retrier.Unknown, reason: "connection", detail: "the endpoint did not answer"}
-	if connector.IsDialError(err) {
-		a.outcome, a.detail = retrier.NotRun, "the endpoint can't be reached"
-	}
-	if errors.Is(context.Cause(ctx), errOvertaken) {
+	switch {
+	case errors.Is(context.Cause(ctx), errOvertaken):
 		a.reason, a.detail = "overtaken", errOvertaken.Error()
-	} else if ctx.Err() != nil {
+	case sentNothing:
+		a.outcome, a.detail = retrier.NotRun, "the endpoint can't be reached"
+	case ctx.Err() != nil:
 		a.reason, a.detail = "deadline", "the deadline passed while the endpoint worked"
 	}
 	if ctx.Err() == nil && !p.remote {
--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -253,7 +254,7 @@
 // outcome "not-run" for a request that may have run, and against answers that are
 // lost because their endpoint was silent for a moment. Each case is one request; each
 // line of its script is the response of an endpoint to one attempt. "alone" leaves one
-// endpoint, "no-retries" takes the budget.
+// endpoint, "no-retries" takes the budget, "dial" is how long the first connection takes.
 func TestAttempts(t *testing.T) {
 	datadriven.RunTest(t, "testdata/attempts", func(t *testing.T, d *datadriven.TestData) string {
 		q, ok := requests[d.Cmd]
@@ -273,6 +274,11 @@
 		if d.HasArg("no-retries") {
 			g.budget.Share = -1
 		}
+		if d.HasArg("dial") {
+			var ms int
+			d.ScanArgs(t, "dial", &ms)
+			g.dialer.ControlContext = slowOnce(time.Duration(ms) * time.Millisecond)
+		}
 		if d.HasArg("alone") {
 			g.table.Remove(endpointName("b", "model/m"))
 			g.table.Remove(endpointName("b", "service/booking"))
@@ -301,6 +307,22 @@
 	})
 }
 
+// slowOnce returns a control function for a dialer whose first connection takes d.
+func slowOnce(d time.Duration) func(context.Context, string, string, syscall.RawConn) error {
+	var once atomic.Bool
+	return func(ctx context.Context, _, _ string, _ syscall.RawConn) error {
+		if once.Swap(true) {
+			return nil
+		}
+		select {
+		case <-time.After(d):
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // String returns the number of attempts, of those that were not refused, and of
 // the endpoints that were tried.
 func (e *scriptedEndpoints) String() string {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,7 @@
 	demands        demands
 	meter          divider.Meter
 	client         *http.Client
+	dialer         net.Dialer
 	counters       counters
 	stopping       atomic.Bool
 	turns          atomic.Uint64
@@ -208,7 +209,7 @@
 	}
 	g.client = &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 256, DisableCompression: true, TLSClientConfig: t,
-		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext: g.dial,
 	}}
 	if err := g.counters.make(g.Metrics.Meter); err != nil {
 		return nil, err
@@ -217,6 +218,27 @@
 	return g.newServers(l)
 }
 
+const (
+	// dialTimeout bounds the making of a connection to an agent or another gateway.
+	dialTimeout = time.Second
+	// watchedDialTimeout bounds that of a watched attempt, which others may run beside
+	// after dialTimeout. A sound endpoint may be silent for 2 s.
+	watchedDialTimeout = 3 * time.Second
+)
+
+// watched is the key of the context of a watched attempt.
+type watched struct{}
+
+func (g *Gateway) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	timeout := dialTimeout
+	if ctx.Value(watched{}) != nil {
+		timeout = watchedDialTimeout
+	}
+	ctx, stop := context.WithTimeout(ctx, timeout)
+	defer stop()
+	return g.dialer.DialContext(ctx, network, address)
+}
+
 func (g *Gateway) operatorServer() *operator.Server {
 	return &operator.Server{
 		State:     g.replica.Current,
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/problem"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
@@ -100,7 +101,7 @@
 		Str("reason", p.reason).Str("from", "peer").Int("try", c.tries).Msg("route")
 	r, err := g.send(ctx, c.request(p), p)
 	if err != nil {
-		a := c.attemptFailed(ctx, p, err)
+		a := c.attemptFailed(ctx, p, connector.IsDialError(err), err)
 		if a.outcome == retrier.NotRun && c.tries < retrier.DefaultMaxTries {
 			return true
 		}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"math"
+	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -16,14 +18,17 @@
 	streamStallTimeout = 5 * time.Second
 )
 
-// watchdog tells a call when the endpoint of an attempt stops responding: its agent
-// stopped reporting or restarted, it lost its engine, or a stream stalled. Without it, a
+// watchdog tells a call when the endpoint of an attempt stops responding: it takes no
+// connection, its agent stopped reporting or restarted, it lost its engine, or a stream stalled. Without it, a
 // frozen process would block an idempotent call until its deadline. The endpoint may be
 // sound and go on, so the attempt is kept until another one has answered.
 type watchdog struct {
 	attempt *attempt
 	boot    string
 	timer   *time.Timer
+	begun   time.Time
+	// connected is set when the attempt has a connection; before, nothing is sent.
+	connected atomic.Bool
 	// frame is the Unix time of the last frame in nanoseconds, 0 before the
 	// first one.
 	frame atomic.Int64
@@ -31,19 +36,26 @@
 }
 
 func watchEndpoint(a *attempt) *watchdog {
-	w := &watchdog{attempt: a}
+	w := &watchdog{attempt: a, begun: time.Now()}
 	if !a.call.idempotent {
 		return w
 	}
 	if e, ok := a.call.gateway.table.Get(a.target.name); ok {
 		w.boot = e.BootID
 	}
+	a.ctx = context.WithValue(a.ctx, watched{}, true)
+	a.ctx = httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { w.connected.Store(true) },
+	})
 	// check uses the field, so it must be set before the timer can run.
 	w.timer = time.AfterFunc(math.MaxInt64, w.check)
 	w.timer.Reset(watchInterval)
 	return w
 }
 
+// hasSentNothing reports whether the attempt ended without a connection.
+func (w *watchdog) hasSentNothing() bool { return w.timer != nil && !w.connected.Load() }
+
 // recordFrame records the arrival of a stream frame.
 func (w *watchdog) recordFrame() { w.frame.Store(time.Now().UnixNano()) }
 
@@ -64,6 +76,9 @@
 	if f := w.frame.Load(); f != 0 && time.Since(time.Unix(0, f)) > streamStallTimeout {
 		return true
 	}
+	if !w.connected.Load() && time.Since(w.begun) >= dialTimeout {
+		return true
+	}
 	if w.attempt.target.remote {
 		return false
 	}
