agent: don't report a service lost within 2 s of silence

Cause: the probe of the service gave its connection up after 1 s, and one failed probe made the endpoint "empty".

Change: a probe may take 2.5 s. A refused connection is reported at once as before.

Test before (TestProbeOfSilentService): "the service was reported as lost". Ruled out by new cases in testdata/requests that were right before: a silence of 1.5 s at the first byte of an engine and of a service, and between the frames of a stream.

--- a/internal/agent/requests_test.go
+++ b/internal/agent/requests_test.go
@@ -40,8 +40,9 @@
 // ServeHTTP answers one request: whole VERSION BOOT, status CODE VERSION BOOT,
 // drop, cut, stall, raw or raw-reset BYTES, where "|" is the end of a line and "@" the
 // lines that name version and boot, or stream BOOT EVENT..., where an event is a sequence number,
-// "foreign-N" or "end-N". A dash leaves a header out; "resumes" before the
-// events confirms the position asked for. "foreign" before it names another request.
+// "foreign-N", "end-N" or the silence "pause-MS". A dash leaves a header out; "resumes" before the
+// events confirms the position asked for. "foreign" before it names another request, and
+// "pause-MS" is a silence before the head.
 func (s *target) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	_, _ = io.Copy(io.Discard, q.Body)
 	s.ran.Add(1)
@@ -57,6 +58,10 @@
 		w.Header().Set(header.CallerID, "other")
 		script = script[1:]
 	}
+	if ms, ok := strings.CutPrefix(script[0], "pause-"); ok {
+		pause(ms)
+		script = script[1:]
+	}
 	switch script[0] {
 	case "whole":
 		name(script[1], script[2])
@@ -84,6 +89,11 @@
 	}
 }
 
+func pause(ms string) {
+	n, _ := strconv.Atoi(ms)
+	time.Sleep(time.Duration(n) * time.Millisecond)
+}
+
 // writeRaw writes the bytes as they are and closes the connection.
 func writeRaw(w http.ResponseWriter, b string, reset bool) {
 	c, _, err := http.NewResponseController(w).Hijack()
@@ -108,6 +118,9 @@
 		switch kind {
 		case "resumes":
 			w.Header().Set(header.ResumeFrom, q.Header.Get(header.ResumeFrom))
+		case "pause":
+			_ = http.NewResponseController(w).Flush()
+			pause(n)
 		case "foreign":
 			_, _ = fmt.Fprintf(w, "id: other/%s\ndata: {}\n\n", n)
 		case "end":
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -26,6 +26,8 @@
 const (
 	// probeInterval is the time between two looks at whether the service answers.
 	probeInterval = time.Second
+	// probeTimeout bounds one look. A sound service may be silent for 2 s.
+	probeTimeout = 2500 * time.Millisecond
 	// maxAnswer bounds the answer of a plain service in bytes.
 	maxAnswer = 16 << 20
 )
@@ -38,6 +40,8 @@
 	client *http.Client
 	guard  atomic.Pointer[guarder.Guard]
 	up     atomic.Bool
+	// dialer connects to the service to probe it.
+	dialer net.Dialer
 }
 
 func newService(a *Agent) *service {
@@ -108,8 +112,9 @@
 	if q.URL.Port() == "" {
 		a = net.JoinHostPort(a, "80")
 	}
-	d := net.Dialer{Timeout: probeInterval}
-	c, err := d.DialContext(ctx, "tcp", a)
+	ctx, stop := context.WithTimeout(ctx, probeTimeout)
+	defer stop()
+	c, err := s.dialer.DialContext(ctx, "tcp", a)
 	if err != nil {
 		return err
 	}
