--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -19,9 +19,9 @@
 )
 
 // watchdog tells a call when the endpoint of an attempt stops responding: it takes no
-// connection, its agent stopped reporting or restarted, it lost its engine, or a stream stalled. Without it, a
-// frozen process would block an idempotent call until its deadline. The endpoint may be
-// sound and go on, so the attempt is kept until another one has answered.
+// connection, its agent stopped reporting or restarted, it lost its engine, or a stream
+// stalled. Without it, a frozen process would block an idempotent call until its deadline.
+// The endpoint may be sound and go on, so the attempt is kept until another one has answered.
 type watchdog struct {
 	attempt *attempt
 	boot    string
