gateway: test an attempt whose agent changes its gateway

Two cases of the fault of "keep a silent attempt until another one answers": the endpoint's status is withdrawn while an attempt is silent for 1.5 s, as when its agent attaches to another gateway.

--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -46,8 +46,10 @@
 	seen []string
 	// ran counts the attempts that were not refused.
 	ran int
-	// report tells the gateway that an endpoint has lost its engine, or has it back.
-	report func(name string, lost bool)
+	// report tells the gateway an endpoint's state.
+	report func(name string, state router.State)
+	// detach tells the gateway that an endpoint's agent has left.
+	detach func(name string)
 }
 
 // next returns the script line of this attempt. After the last line, endpoints
@@ -68,7 +70,7 @@
 
 // serve answers one attempt by its script line: whole [VERSION], refuse REASON,
 // empty STATUS, fail, unknown, drop, cut, bare, invalid STATUS, or stream VERSION FRAMES [cut] or
-// [quiet MS FRAMES]. "foreign" before it answers another request, "old" leaves the
+// [quiet MS FRAMES] or [gone MS FRAMES]. "foreign" before it answers another request, "old" leaves the
 // request id out, "quiet MS" is silent before it answers. "raw" closes the connection after
 // the bytes, in which "|" is the end of a line and "@" the lines of an agent's answer.
 func (e *scriptedEndpoints) serve(name string, w http.ResponseWriter, q *http.Request) {
@@ -85,8 +87,8 @@
 	case "old":
 		h.Del(header.RequestID)
 		s = s[1:]
-	case "quiet":
-		e.quiet(q, name, s[1])
+	case "quiet", "gone":
+		e.quiet(q, name, s[1], s[0] == "gone")
 		s = s[2:]
 	}
 	switch s[0] {
@@ -122,8 +124,8 @@
 	case "stream":
 		h.Set(header.Version, s[1])
 		to := writeStream(w, q, 0, s[2])
-		if s[3] == "quiet" {
-			e.quiet(q, name, s[4])
+		if s[3] == "quiet" || s[3] == "gone" {
+			e.quiet(q, name, s[4], s[3] == "gone")
 			to = writeStream(w, q, to, s[5])
 		}
 		if s[3] == "cut" {
@@ -146,16 +148,20 @@
 	_ = c.Close()
 }
 
-// quiet is an endpoint that falls silent, which its agent reports as a lost engine, and
-// then goes on.
-func (e *scriptedEndpoints) quiet(q *http.Request, name, ms string) {
+// quiet is an endpoint that falls silent and then goes on. Its agent reports it as a lost
+// engine or, if gone is set, leaves for another gateway meanwhile.
+func (e *scriptedEndpoints) quiet(q *http.Request, name, ms string, gone bool) {
 	n, _ := strconv.Atoi(ms)
-	e.report(name, true)
+	if gone {
+		e.detach(name)
+	} else {
+		e.report(name, router.Empty)
+	}
 	select {
 	case <-time.After(time.Duration(n) * time.Millisecond):
 	case <-q.Context().Done():
 	}
-	e.report(name, false)
+	e.report(name, router.Ready)
 }
 
 // writeStream writes the frames from the given number, or from the one at which the
@@ -210,13 +216,13 @@
 	}
 	sequence := atomic.Uint64{}
 	sequence.Store(1)
-	e.report = func(name string, lost bool) {
-		state := router.Ready
-		if lost {
-			state = router.Empty
-		}
+	e.report = func(name string, state router.State) {
 		addEndpoints(g, name, addresses[name], sequence.Add(1), state)
 	}
+	e.detach = func(name string) {
+		g.table.Remove(endpointName(name, "model/m"))
+		g.table.Remove(endpointName(name, "service/booking"))
+	}
 	return g
 }
 
@@ -286,8 +292,7 @@
 			g.RequestTimeout = time.Duration(ms) * time.Millisecond
 		}
 		if d.HasArg("alone") {
-			g.table.Remove(endpointName("b", "model/m"))
-			g.table.Remove(endpointName("b", "service/booking"))
+			e.detach("b")
 		}
 		s := httptest.NewServer(g.callerRoutes())
 		defer s.Close()
