--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -42,6 +41,8 @@
 	client *http.Client
 	guard  atomic.Pointer[guarder.Guard]
 	up     atomic.Bool
+	// dialer connects to the service to probe it.
+	dialer net.Dialer
 }
 
 func newService(a *Agent) *service {
@@ -123,8 +124,9 @@
 	if q.URL.Port() == "" {
 		a = net.JoinHostPort(a, "80")
 	}
-	d := net.Dialer{Timeout: probeInterval}
-	c, err := d.DialContext(ctx, "tcp", a)
+	ctx, stop := context.WithTimeout(ctx, probeInterval)
+	defer stop()
+	c, err := s.dialer.DialContext(ctx, "tcp", a)
 	if err != nil {
 		return err
 	}
@@ -235,7 +237,7 @@
 	if n := v.q.Header.Get(header.IdempotencyKey); n != "" {
 		header.SetIdempotencyKey(q.Header, n)
 	}
-	r, err := s.client.Do(q)
+	r, err := send(s.client, q)
 	if err != nil {
 		s.agent.Log.Warn().Str("request-id", v.id).Err(err).Msg("service not reached")
 		if connector.IsDialError(err) {
@@ -244,15 +246,17 @@
 		return guarder.Answer{}, &Error{Op: "call service", Kind: classifier.OutcomeUnknown, Err: errors.New("the service did not answer")}
 	}
 	defer func() { _ = r.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(r.Body, maxAnswer+1))
-	if err == nil && len(b) > maxAnswer {
-		err = errors.Newf("the answer is larger than %d bytes", maxAnswer)
-	}
+	b, err := readWhole(r, isJSON(r))
 	if err != nil {
 		return guarder.Answer{}, &Error{Op: "read answer", Kind: classifier.OutcomeUnknown, Err: err}
 	}
 	n := guarder.Answer{Status: r.StatusCode, Body: b, Header: make(http.Header)}
-	for _, k := range []string{"Content-Type", "Location", "ETag", "Cache-Control", header.RetryAfter} {
+	names := []string{"Content-Type", "Location", "ETag", "Cache-Control", header.RetryAfter}
+	if v.q.Method == http.MethodHead {
+		// It is the length that the answer to a GET would have.
+		names = append(names, "Content-Length")
+	}
+	for _, k := range names {
 		if x := r.Header.Get(k); x != "" {
 			n.Header.Set(k, x)
 		}
@@ -272,7 +276,9 @@
 			v.w.Header()[x] = y
 		}
 		v.stamp(header.Run, "")
-		v.w.Header().Set("Content-Length", strconv.Itoa(len(n.Body)))
+		if v.q.Method != http.MethodHead {
+			v.w.Header().Set("Content-Length", strconv.Itoa(len(n.Body)))
+		}
 		v.w.WriteHeader(n.Status)
 		_, _ = v.w.Write(n.Body)
 		return n.Status >= http.StatusInternalServerError
