forwarder: refuse answers whose version leaves their frame open

A caller got the marks of the chunks as part of its body, and a part of a chunked body as a whole one (200 with a Content-Length), if the status line of the answer says HTTP/1.0.

Cause: http.ReadResponse ignores a Transfer-Encoding of HTTP/1.0 and removes it from the headers, so that the body is framed by the close. It takes HTTP/2.0 and HTTP/0.9 in a status line as well. The protocol is HTTP/1.1 throughout, and for HTTP/1.0 a Transfer-Encoding is a faulty frame (RFC 9112, 6.1).

Change: an answer of HTTP/1.0 without a length, and one of another major version, isn't passed on; its outcome is unknown. Taken as before: HTTP/1.0 with a length, 204, HEAD, and a refusal, as its head alone says that the request hasn't run.

Failed first (TestHeads): 200 "5\r\nhello\r\n0\r\n\r\n" and 200 "5\r\nhel" for chunks, 200 "hel" without a length, 200 "" for a stream; HTTP/2.0 and HTTP/0.9 gave 200 "hello". Now each of them gives 502.

Ruled out: telling an HTTP/1.0 answer that ends with its connection from one that has chunks; the headers no longer show it, and such answers aren't in the protocol.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -166,8 +166,8 @@
 	if v, refused := a.readRefusal(); refused {
 		return v
 	}
-	if r.StatusCode/100 == 2 && r.Header.Get(names.Signature) == "" {
-		return unknownOutcome("read response", errors.New("successful response has no signature header"))
+	if err := a.checkResponse(); err != nil {
+		return unknownOutcome("read response", err)
 	}
 	if r.StatusCode == http.StatusOK && isEventStream(r.Header) {
 		return a.copyEvents()
@@ -233,6 +233,22 @@
 	return v, true
 }
 
+// checkResponse returns an error if the response can't be the endpoint's whole answer.
+func (a *attempt) checkResponse() error {
+	r := a.response
+	switch {
+	case r.ProtoMajor != 1:
+		return errors.Newf("response has protocol version %q", r.Proto)
+	case r.ProtoMinor == 0 && r.ContentLength < 0 && a.call.method != http.MethodHead:
+		// http.ReadResponse ignores and removes the transfer encoding of this version, so
+		// that the marks of the chunks would be part of the body.
+		return errors.Newf("%s response has no length", r.Proto)
+	case r.StatusCode/100 == 2 && r.Header.Get(a.call.handler.Headers.Signature) == "":
+		return errors.New("successful response has no signature header")
+	}
+	return nil
+}
+
 // readResponse buffers the complete response, so that a truncated one never looks
 // complete to the caller.
 func (a *attempt) readResponse() attemptResult {
