forwarder: refuse bodies with an encoding that nobody asked for

A caller that wants bodies without any encoding got an answer with a Content-Encoding, signed and whole. By the protocol such a body isn't the endpoint's body.

Cause: the header was passed on like any other one.

Change: a success whose body has an encoding that the caller's Accept-Encoding doesn't name is treated like one without a signature: its outcome is unknown, and it is tried elsewhere if it may run again. A failure passes on as before, as does "identity", and an encoding that the caller names.

Ruled out: asking endpoints for identity in place of what the caller asks for; a caller that accepts an encoding would lose it.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -245,6 +245,8 @@
 		return errors.Newf("%s response has no length", r.Proto)
 	case r.StatusCode/100 == 2 && r.Header.Get(a.call.handler.Headers.Signature) == "":
 		return errors.New("successful response has no signature header")
+	case r.StatusCode/100 == 2 && a.refusedEncoding() != "":
+		return errors.Newf("successful response has the encoding %q, which the caller doesn't accept", a.refusedEncoding())
 	}
 	return nil
 }
--- a/forwarder/raw_endpoint_test.go
+++ b/forwarder/raw_endpoint_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -130,6 +131,11 @@
 
 // ask sends a request for the answer with the number.
 func (e *rawEndpoint) ask(client *http.Client, route, method string, answer int) callerAnswer {
+	return e.askWith(client, route, method, answer, nil)
+}
+
+// askWith does the same with further headers.
+func (e *rawEndpoint) askWith(client *http.Client, route, method string, answer int, more http.Header) callerAnswer {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	q, _ := http.NewRequestWithContext(ctx, method, e.front+"/"+route+"/x", http.NoBody)
@@ -137,6 +143,7 @@
 		q, _ = http.NewRequestWithContext(ctx, method, e.front+"/"+route+"/x", strings.NewReader("body"))
 	}
 	q.Host = "h"
+	maps.Copy(q.Header, more)
 	q.Header.Set("Authorization", "Bearer key")
 	q.Header.Set(headers.RequestID, "id-1")
 	q.Header.Set(caseHeader, strconv.Itoa(answer))
