forwarder: send events that arrived before a stream's end is found broken

A caller got a closed connection without a byte, though a whole event of its stream had arrived, if the same read held the fault that ends the attempt: a last chunk without its line end, a malformed chunk, an event out of order.

Cause: events are flushed before the next read from the endpoint. There was none, and giveUp's abort drops what isn't flushed. If another endpoint resumed, the events waited for its first one.

Change: an attempt that fails as the writer flushes first.

Not changed: callers of HTTP/1.0 get streams without chunks, so a broken one looks whole to them; the protocol is HTTP/1.1.

--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -84,7 +84,14 @@
 	return v, false
 }
 
+// fail sends the caller the events that it hasn't got, since no other attempt may follow that
+// sends them.
 func (e *eventCopier) fail(err error) (attemptResult, bool) {
+	if e.attempt.isWriter() {
+		if err := e.attempt.call.flush(); err != nil {
+			return e.attempt.lostCaller(err), true
+		}
+	}
 	return unknownOutcome("read event", errors.Wrapf(err, "after event %q", e.order.last)), true
 }
 
