--- a/forwarder/handler_test.go
+++ b/forwarder/handler_test.go
@@ -443,7 +443,12 @@
 func sendRequestWithID(url, route, id string) string {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	r, err := http.DefaultClient.Do(newRequest(ctx, url, route, id))
+	return receive(newRequest(ctx, url, route, id))
+}
+
+// receive sends the request and summarizes the response.
+func receive(q *http.Request) string {
+	r, err := http.DefaultClient.Do(q)
 	if err != nil {
 		return "connection closed"
 	}
