gateway: refuse late calls that may run once and can't end in a stop

Callers of a gateway with agents that stops would see a call that must not be repeated passed on and cut, if the route's timeout goes beyond the end of the stop. Cause: the same as in the direct gateway; serveCaller passes on each call whatever time it needs. It is refused now with 503, outcome not-run and Retry-After, before admission. Calls with a key, and those that may be repeated, are still taken: how long these usually take isn't measured here.

With the defaults (stop of 2 min, requests of 1 min) a call meets this only in the second half of a long stop.

The end of the stop, which closes connections without an answer, is not changed here.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -71,6 +71,12 @@
 		c.refuse("refused", *p)
 		return
 	}
+	if !c.endsInTime() {
+		p := problem.New(http.StatusServiceUnavailable, header.NotRun, "this gateway stops before the call can end; another one takes it")
+		p.RetryAfter = stopRetryAfter
+		c.refuse("stopping", p)
+		return
+	}
 	g.meter.Offer(c.account.Name)
 	t, err := g.admission(c.serves).Admit(q.Context(), admitter.Request{Account: &c.account.ClientAccount, Deadline: c.deadline})
 	if err != nil {
@@ -81,6 +87,16 @@
 	c.serve()
 }
 
+// stopRetryAfter is the Retry-After time of a call that is refused because the gateway stops.
+const stopRetryAfter = time.Second
+
+// endsInTime reports whether the call surely ends before a planned stop does, if it must not be
+// repeated.
+func (c *call) endsInTime() bool {
+	cut := c.gateway.cutAt.Load()
+	return cut == nil || c.idempotent || c.key != "" || !c.deadline.After(*cut)
+}
+
 func admissionProblem(err error) problem.Problem {
 	p := problem.New(http.StatusTooManyRequests, header.NotRun, err.Error())
 	var e *admitter.Error
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,9 @@
 	client         *http.Client
 	counters       counters
 	stopping       atomic.Bool
-	turns          atomic.Uint64
+	// cutAt is the time at which a planned stop ends; nil unless the gateway stops.
+	cutAt atomic.Pointer[time.Time]
+	turns atomic.Uint64
 	// foreignEndpoints is the number of endpoints in the table that belong to
 	// other failure domains. Their agents attach here after losing their own
 	// gateways.
@@ -137,6 +139,8 @@
 // stop makes a planned stop: it reports not ready, waits for the load balancer,
 // then finishes the requests in flight.
 func (g *Gateway) stop(s *servers) {
+	cut := time.Now().Add(g.BalancerWait + g.StopTimeout)
+	g.cutAt.Store(&cut)
 	g.stopping.Store(true)
 	g.Log.Info().Dur("balancer-wait-ms", g.BalancerWait).Msg("planned stop")
 	time.Sleep(g.BalancerWait)
