--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -44,6 +44,9 @@
 	announceTimeout = 800 * time.Millisecond
 	// exitMargin is the part of StopTimeout that is reserved for the process to exit.
 	exitMargin = 700 * time.Millisecond
+	// answerTimeout is the part of exitMargin in which the requests that a planned stop has
+	// cut are answered.
+	answerTimeout = 300 * time.Millisecond
 )
 
 const (
@@ -221,13 +224,21 @@
 	began := time.Now()
 	g.Log.Info().Msg("stop")
 	g.stopping.Store(true)
-	g.front.Stop()
+	cut := began.Add(g.StopTimeout - exitMargin)
+	g.front.Stop(cut)
 	go func() { _ = g.writeRecord(context.Background(), nil) }() // writeRecord logs its failure
 	time.Sleep(g.BalancerWait)
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.StopTimeout-exitMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), cut)
 	defer cancel()
 	err := servers[0].Drain(ctx)
-	g.Log.Info().AnErr("cut", err).Dur("took-ms", time.Since(began)).Msg("stopped")
+	n := g.front.Cut()
+	if err != nil {
+		// The answers of the requests that were cut are still to be sent.
+		ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+		defer cancel()
+		_ = servers[0].Drain(ctx)
+	}
+	g.Log.Info().Err(err).Int("cut", n).Dur("took-ms", time.Since(began)).Msg("stopped")
 }
 
 // tick expires endpoints and updates the dispatcher at a fixed interval.
