forwarder: count rarer long requests in the usual time

A request that a planned stop refuses costs its caller a second way, one that is cut all its time. The usual time is now the one within which 999 in 1000 requests end; it was 99 in 100. The table of TestDurations has the new bounds: one request in 300 counts, one in 1,500 doesn't.

--- a/forwarder/durations.go
+++ b/forwarder/durations.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// usualShare is the share of requests that take no longer than the usual time.
-	usualShare = 0.99
+	// usualShare is the share of requests that take no longer than the usual time. A request
+	// that is refused for it costs its caller a second way, and one that is cut all its time.
+	usualShare = 0.999
 	// minDurations is the number of requests from which the usual time is known.
 	minDurations = 4
 	// maxDurations is the number of requests from which all counts are halved, so that old
--- a/forwarder/durations_test.go
+++ b/forwarder/durations_test.go
@@ -31,8 +31,8 @@
 		"tiny":        {repeat(10, time.Microsecond), time.Microsecond, time.Millisecond, true},
 		"huge":        {repeat(10, time.Hour), time.Minute, time.Hour, true},
 		"longest":     {join(repeat(50, 10*time.Millisecond), repeat(1, 2*time.Second)), 2 * time.Second, 2400 * time.Millisecond, true},
-		"rare":        {join(repeat(1, 5*time.Second), repeat(300, 20*time.Millisecond)), 20 * time.Millisecond, 24 * time.Millisecond, true},
-		"one in 20":   {join(repeat(15, 3*time.Second), repeat(285, 20*time.Millisecond)), 3 * time.Second, 3600 * time.Millisecond, true},
+		"rare":        {join(repeat(1, 5*time.Second), repeat(1500, 20*time.Millisecond)), 20 * time.Millisecond, 24 * time.Millisecond, true},
+		"one in 300":  {join(repeat(1, 3*time.Second), repeat(299, 20*time.Millisecond)), 3 * time.Second, 3600 * time.Millisecond, true},
 		"old":         {join(repeat(500, 4*time.Second), repeat(8000, 30*time.Millisecond)), 30 * time.Millisecond, 36 * time.Millisecond, true},
 		"slower load": {join(repeat(8000, 30*time.Millisecond), repeat(40, 2*time.Second)), 2 * time.Second, 2400 * time.Millisecond, true},
 	} {
