listener: close a trimmed connection before a request can begin on it

Callers with an idle connection could lose an answer, by reading: the connection to be trimmed was chosen under the lock and closed after it, so that a request could arrive in between, be passed on, and lose its connection. The gateway looks at its caller's socket before it sends a request; with the close under the lock, a request that is recorded as begun later finds it closed there.

Failed before: "a connection was closed after its request had begun" (TestRequestMeetsTrim).

--- a/internal/listener/trimmer.go
+++ b/internal/listener/trimmer.go
@@ -31,6 +31,10 @@
 // ConnState records the new state of a connection. It is meant for the ConnState
 // field of http.Server.
 func (t *Trimmer) ConnState(c net.Conn, s http.ConnState) {
+	// The lock is held until the connection is closed, so that a request that arrives
+	// meanwhile is recorded after that and finds it closed.
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if old := t.updateState(c, s); old != nil {
 		// Close fails if the caller has closed the connection meanwhile, which is fine.
 		_ = old.Close()
@@ -38,10 +42,8 @@
 }
 
 // updateState records the new state of c and returns the connection to close, or
-// nil.
+// nil. It is called with the lock held.
 func (t *Trimmer) updateState(c net.Conn, s http.ConnState) net.Conn {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	if t.open == nil {
 		t.open = make(map[net.Conn]*list.Element)
 	}
--- a/internal/listener/trimmer_test.go
+++ b/internal/listener/trimmer_test.go
@@ -65,3 +65,40 @@
 		t.Errorf("the request in progress got status %d", got)
 	}
 }
+
+// reactivatingConn is a connection whose next request arrives while it is being closed.
+type reactivatingConn struct {
+	net.Conn
+	trimmer *listener.Trimmer
+	// active is closed once the server has recorded the request.
+	active chan struct{}
+	// served reports whether the request was recorded before the connection was closed.
+	served bool
+}
+
+// Close implements net.Conn.
+func (c *reactivatingConn) Close() error {
+	go func() {
+		c.trimmer.ConnState(c, http.StateActive)
+		close(c.active)
+	}()
+	select {
+	case <-c.active:
+		c.served = true
+	case <-time.After(100 * time.Millisecond):
+	}
+	return nil
+}
+
+// A request that arrives while its idle connection is chosen must not be served and its
+// connection closed then: its caller would get no answer.
+func TestRequestMeetsTrim(t *testing.T) {
+	trim := &listener.Trimmer{Most: 1}
+	c := &reactivatingConn{trimmer: trim, active: make(chan struct{})}
+	trim.ConnState(c, http.StateIdle)
+	trim.ConnState(new(net.TCPConn), http.StateNew)
+	<-c.active
+	if c.served {
+		t.Error("a connection was closed after its request had begun")
+	}
+}
