forwarder: take a stream for one if its parameters can't be read

A caller of a stream without a length, whose endpoint closed in the middle of an event, got the part of that event in a 200 with a Content-Length, if the content type has a parameter that can't be read ("text/event-stream; char").

Cause: mime.ParseMediaType returns the type beside its error for the parameter, and isEventStream took any error for another type. The stream was buffered as a plain body, so it also arrived only at its end.

Change: that error is no reason against a stream.

Failed first (TestHeads, "; char" and "; char="): 200 "data: a\r\n\r\ndata: b". Now "data: a" arrives and the stream is broken off. Another type, such as text/event-streams, stays a plain body.

--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -15,7 +15,8 @@
 
 func isEventStream(h http.Header) bool {
 	t, _, err := mime.ParseMediaType(h.Get("Content-Type"))
-	return err == nil && t == "text/event-stream"
+	// The type is known also if a parameter can't be read.
+	return (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter)) && t == "text/event-stream"
 }
 
 // copyEvents forwards each event when it is complete. An incomplete last event is
