forwarder: keep the length in the response to HEAD

Callers of HEAD got Content-Length 0 whatever the endpoint stated, as the length of the buffered body was written. The response has the endpoint's length now, or none.

Failed before (TestLengthOfHead): "status 200 with a length of 0, want 5", and -1.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -69,6 +69,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// length is the length of the body that the headers state; -1 if they state none.
+	length int64
 }
 
 func unknownOutcome(op string, err error) attemptResult {
@@ -287,7 +289,7 @@
 	if err != nil {
 		return unknownOutcome("read response", err)
 	}
-	v := attemptResult{outcome: retrier.Failed, response: &bufferedResponse{status: r.StatusCode, header: r.Header, body: b}}
+	v := attemptResult{outcome: retrier.Failed, response: &bufferedResponse{status: r.StatusCode, header: r.Header, body: b, length: r.ContentLength}}
 	if r.StatusCode >= http.StatusInternalServerError {
 		v.leaseOutcome = dispatcher.Failed
 	}
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -180,7 +180,13 @@
 	h := c.w.Header()
 	copyHeader(h, a.header)
 	c.handler.setConnectionClose(h)
-	h["Content-Length"] = []string{strconv.Itoa(len(a.body))}
+	length := int64(len(a.body))
+	if c.method == http.MethodHead {
+		length = a.length
+	}
+	if length >= 0 {
+		h["Content-Length"] = []string{strconv.FormatInt(length, 10)}
+	}
 	c.w.WriteHeader(a.status)
 	_, _ = c.w.Write(a.body)
 }
