--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -64,6 +64,9 @@
 	err             error
 }
 
+// isAnswer reports whether the result ends the call.
+func (v *attemptResult) isAnswer() bool { return v.complete || v.final }
+
 // bufferedResponse is a response that is not a stream.
 type bufferedResponse struct {
 	status int
--- a/forwarder/handler_test.go
+++ b/forwarder/handler_test.go
@@ -198,7 +198,7 @@
 		_, _ = io.WriteString(c, head("200 OK", id, "\r\nhello"))
 		time.Sleep(20 * time.Millisecond)
 		return false
-	case "stream", "cut", "cut-inside", "silent", "pause", "trickle", "comments":
+	case "stream", "cut", "cut-inside", "silent", "pause", "pause-cut", "pause-on", "trickle", "comments":
 		return b.stream(c, q, head, name, n)
 	case "events":
 		out = head("200 OK", id, fmt.Sprintf("Content-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n", len(events(argument))))
@@ -239,11 +239,12 @@
 }
 
 // stream writes n events after the one from which the stream resumes; for the step
-// "pause" it writes two events, n milliseconds apart.
+// "pause" it writes two events, n milliseconds apart. After these, "pause-cut" breaks off and
+// "pause-on" writes a third one later.
 func (b *fakeEndpoint) stream(c net.Conn, q *http.Request, head func(string, string, string) string, name string, n int) bool {
 	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	pause := time.Duration(0)
-	if name == "pause" {
+	if strings.HasPrefix(name, "pause") {
 		pause, n = time.Duration(n)*time.Millisecond, 2
 	}
 	_, _ = io.WriteString(c, head("200 OK", q.Header.Get(headers.RequestID), "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
@@ -255,8 +256,11 @@
 		}
 	}
 	switch name {
-	case "cut":
+	case "cut", "pause-cut":
 		return false
+	case "pause-on":
+		time.Sleep(200 * time.Millisecond)
+		chunk(fmt.Sprintf("id: %d\ndata: e%d\n\n", from+n+1, from+n+1))
 	case "cut-inside":
 		chunk(fmt.Sprintf("id: %d\ndata: half", from+n+1))
 		return false
--- /dev/null
+++ b/forwarder/superseded_test.go
@@ -0,0 +1,63 @@
+package forwarder_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
+)
+
+// lateDial dials as usual, but lets the second attempt fail or succeed a while after the first
+// one has superseded it.
+func lateDial(wait time.Duration, fail bool) *forwarder.Transport {
+	dials := atomic.Int32{}
+	return &forwarder.Transport{Dial: func(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
+		var d net.Dialer
+		if dials.Add(1) != 2 {
+			return d.DialContext(ctx, "tcp", a.String())
+		}
+		<-ctx.Done()
+		time.Sleep(wait)
+		if fail {
+			return nil, ctx.Err()
+		}
+		return d.DialContext(context.WithoutCancel(ctx), "tcp", a.String())
+	}}
+}
+
+// askLate sends a request to two endpoints with these steps.
+func askLate(t *testing.T, tr *forwarder.Transport, steps ...string) (answer, requests string) {
+	f, all := newHandlerWithTimeout(t, 2, 4*time.Second)
+	f.Transport = tr
+	s := &script{steps: steps}
+	for _, b := range all {
+		b.script = s
+	}
+	answer = sendRequest(serve(t, f), "resume")
+	return answer, summarizeRequests(all)
+}
+
+// A stream that goes on and then breaks off, before the attempt beside it has ended, must be
+// resumed. The call waited forever.
+func TestStreamBreaksBeforeSupersededAttemptEnds(t *testing.T) {
+	got, requests := askLate(t, lateDial(200*time.Millisecond, true), "pause-cut 1500", "stream 1")
+	if want := "200 id: 1|data: e1||id: 2|data: e2||id: 3|data: e3"; got != want {
+		t.Errorf("the caller got %q, want %q (endpoints: %q)", got, want, requests)
+	}
+}
+
+// An attempt that was superseded counts against the attempts of its route, also if the one that
+// superseded it breaks off at once.
+func TestSupersededAttemptCounts(t *testing.T) {
+	got, requests := askLate(t, &forwarder.Transport{}, "pause-cut 1500", "silent 0", "stream 1")
+	if want := "200 id: 1|data: e1||id: 2|data: e2 BROKEN OFF"; got != want {
+		t.Errorf("the caller got %q, want %q", got, want)
+	}
+	if want := "  sent 2 ran 2 resume=1\n"; requests != want {
+		t.Errorf("the endpoints got %q, want %q", requests, want)
+	}
+}
