forwarder: keep a call whose superseded attempt connects

An attempt that was superseded between its lease and its request took the end of its own context for the caller's disconnect, and canceled the whole call: the stream that had just gone on was broken off.

Before: TestSupersededWhileConnecting got "id: 1|data: e1||id: 2|data: e2 BROKEN OFF".

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -122,7 +122,10 @@
 	}
 	if isCallerDisconnected(ctx) {
 		conn.abort()
-		a.call.cancel()
+		if ctx.Err() == nil {
+			// Otherwise the call has ended, or only this attempt has.
+			a.call.cancel()
+		}
 		return attemptResult{outcome: retrier.NotRun, leaseOutcome: dispatcher.Canceled, err: errCallerDisconnected}
 	}
 	if err := a.checkLease(); err != nil {
--- a/forwarder/superseded_test.go
+++ b/forwarder/superseded_test.go
@@ -61,3 +61,15 @@
 		t.Errorf("the endpoints got %q, want %q", requests, want)
 	}
 }
+
+// An attempt that is superseded while it connects must not end the call, as if the caller had
+// left.
+func TestSupersededWhileConnecting(t *testing.T) {
+	got, requests := askLate(t, lateDial(0, false), "pause-on 1500")
+	if want := "200 id: 1|data: e1||id: 2|data: e2||id: 3|data: e3"; got != want {
+		t.Errorf("the caller got %q, want %q", got, want)
+	}
+	if want := "  sent 1 ran 1\n"; requests != want {
+		t.Errorf("the endpoints got %q, want %q", requests, want)
+	}
+}
