forwarder: keep superseded attempts from claiming alone

After the attempt that superseded it had ended, a superseded one with a comment or retry line left in its buffer was alone and not silent, so it claimed the right to write: into the finished stream, or beside the goroutine that writes a whole response.

Before: TestSupersededAttemptHasComment got "...data: e2||: late".

--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -184,7 +184,7 @@
 	s := &a.call.attempts
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.writer == nil && !a.state.silent && len(s.running) == 1 {
+	if s.writer == nil && !a.state.superseded && !a.state.silent && len(s.running) == 1 {
 		s.supersede(a)
 	}
 	return a.hold()
--- a/forwarder/superseded_test.go
+++ b/forwarder/superseded_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -73,3 +75,41 @@
 		t.Errorf("the endpoints got %q, want %q", requests, want)
 	}
 }
+
+// lateConn delivers a response a while after its attempt has been superseded, as one does that
+// was read already.
+type lateConn struct {
+	net.Conn
+	ctx      context.Context
+	response io.Reader
+}
+
+func (c *lateConn) Write(b []byte) (int, error) { return len(b), nil }
+
+func (c *lateConn) Close() error { return nil }
+
+func (c *lateConn) Read(b []byte) (int, error) {
+	<-c.ctx.Done()
+	time.Sleep(50 * time.Millisecond)
+	return c.response.Read(b)
+}
+
+// A superseded attempt must not write to the caller, also if it is the only one left and only
+// has a comment.
+func TestSupersededAttemptHasComment(t *testing.T) {
+	dials := atomic.Int32{}
+	tr := &forwarder.Transport{Dial: func(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
+		var d net.Dialer
+		c, err := d.DialContext(ctx, "tcp", a.String())
+		if err != nil || dials.Add(1) != 2 {
+			return c, err
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		return &lateConn{Conn: c, ctx: ctx, response: strings.NewReader(
+			"HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signature: s\r\nContent-Type: text/event-stream\r\nContent-Length: 99\r\n\r\n: late\n\n")}, nil
+	}}
+	got, _ := askLate(t, tr, "pause 1500")
+	if want := "200 id: 1|data: e1||id: 2|data: e2"; got != want {
+		t.Errorf("the caller got %q, want %q", got, want)
+	}
+}
