distributor: ask another source again after the budget refused

Since a source that goes on after a stall keeps 4 stall periods for each further 512 bytes, a transfer whose first stall found the budget of hedged requests used up was never hedged again and never ended: a source with 64 bytes a second held its chunk. The longer time now needs that another source has been asked; until then each stall asks again.

--- a/distributor/attempt.go
+++ b/distributor/attempt.go
@@ -110,12 +110,13 @@
 			wait = 0
 		}
 		asked := f.Now()
-		w := newWatchdog(wait+f.Stall, f.Stall, cancel, func(bool) {
+		w := newWatchdog(wait+f.Stall, f.Stall, cancel, func(bool) bool {
 			if !f.hedgeBudget.withdraw() {
-				return
+				return false
 			}
 			f.peers.fail(s.Member.Address, f.Now())
 			hedge(errStall)
+			return true
 		})
 		r, err := t.get(ctx, s, query{wait: wait, inCycle: !cycleSince.IsZero(), seenHolders: seenHolders}, w, c)
 		w.stop()
@@ -204,13 +205,14 @@
 	if err != nil {
 		return reply{}, err
 	}
-	w := newWatchdog(t.f.Stall, t.f.Stall, cancel, func(begun bool) {
+	w := newWatchdog(t.f.Stall, t.f.Stall, cancel, func(begun bool) bool {
 		if !begun || c.narrow || !t.f.hedgeBudget.withdraw() {
 			cancel(errStall)
-			return
+			return false
 		}
 		t.f.peers.fail(s.Member.Address, t.f.Now())
 		hedge(errStall)
+		return true
 	})
 	defer w.stop()
 	return t.get(ctx, s, query{seenHolders: -1}, w, c)
@@ -309,7 +311,7 @@
 	}
 	d := t.chunks[t.chunk]
 	f.Store.setWaitChain(d, nil)
-	w := newWatchdog(f.Stall, f.Stall, cancel, func(bool) { hedge(errStall) })
+	w := newWatchdog(f.Stall, f.Stall, cancel, func(bool) bool { hedge(errStall); return true })
 	defer w.stop()
 	c := f.Link.originClaim(t.sizes[t.chunk])
 	body, size, err := f.Origin.Fetch(ctx, d)
--- a/distributor/watch.go
+++ b/distributor/watch.go
@@ -10,18 +10,20 @@
 // of a body. A source that sends a byte now and then would otherwise hold a chunk forever.
 const minProgressBytes = 512
 
-// watchdog detects that too few bytes arrive. It calls hedge once after the first stall
-// period, with whether any bytes arrived before, and cancels the request after cancelStalls
-// further ones in which nothing came.
+// watchdog detects that too few bytes arrive. After a stall period it calls hedge, with whether
+// any bytes arrived before, until that has asked another source, and cancels the request after
+// cancelStalls further ones in which nothing came.
 type watchdog struct {
 	stall time.Duration
 
 	mu      sync.Mutex
 	timer   *time.Timer
-	hedge   func(begun bool)
+	hedge   func(begun bool) (asked bool)
 	cancel  context.CancelCauseFunc
-	fired   bool
 	stopped bool
+	// fired reports whether the last stall period has passed, and asked whether hedge has
+	// asked another source.
+	fired, asked bool
 	// begun reports whether any bytes arrived, and bytes counts those since the last
 	// restart.
 	begun bool
@@ -30,7 +32,7 @@
 
 // newWatchdog starts a watchdog; the first byte is due within begin, and then
 // minProgressBytes in each stall period.
-func newWatchdog(begin, stall time.Duration, cancel context.CancelCauseFunc, hedge func(begun bool)) *watchdog {
+func newWatchdog(begin, stall time.Duration, cancel context.CancelCauseFunc, hedge func(begun bool) (asked bool)) *watchdog {
 	w := &watchdog{stall: stall, hedge: hedge, cancel: cancel}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -48,7 +50,7 @@
 	default:
 		w.fired = true
 		w.timer.Reset(cancelStalls * w.stall)
-		w.hedge(w.begun)
+		w.asked = w.hedge(w.begun)
 	}
 }
 
@@ -61,12 +63,13 @@
 		return
 	}
 	w.begun, w.bytes = true, 0
-	if w.fired {
+	if w.asked {
 		// The next source was asked already. The source that goes on keeps the same time
 		// as in its first silence, as the other one may have nothing.
 		w.timer.Reset(cancelStalls * w.stall)
 		return
 	}
+	w.fired = false
 	w.timer.Reset(w.stall)
 }
 
