--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -64,6 +64,9 @@
 	err             error
 }
 
+// isAnswer reports whether the result ends the call.
+func (v *attemptResult) isAnswer() bool { return v.complete || v.final }
+
 // bufferedResponse is a response that is not a stream.
 type bufferedResponse struct {
 	status int
@@ -124,7 +127,10 @@
 	}
 	if isCallerDisconnected(ctx) {
 		conn.abort()
-		a.call.cancel()
+		if ctx.Err() == nil {
+			// Otherwise the call has ended, or only this attempt has.
+			a.call.cancel()
+		}
 		return attemptResult{outcome: retrier.NotRun, leaseOutcome: dispatcher.Canceled, err: errCallerDisconnected}
 	}
 	if err := a.checkLease(); err != nil {
