--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -169,7 +169,7 @@
 		return unknownOutcome("read response", errors.Newf("response has request ids %q", r.Header.Values(names.RequestID)))
 	}
 	a.response = r
-	a.hear()
+	a.hearResponse()
 	a.notice()
 	if ms, err := strconv.ParseInt(r.Header.Get(names.Cold), 10, 64); err == nil && ms > 0 {
 		a.call.handler.Dispatcher.ExtendCold(a.lease, milliseconds(ms, maxColdTime))
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -41,6 +41,8 @@
 	// heard is the time of the last part of the response that was complete enough to be used,
 	// or of the request if there was none.
 	heard time.Time
+	// responded reports whether the headers of the response have arrived.
+	responded bool
 	// askAfter is the time before which the endpoint doesn't count as silent again.
 	askAfter time.Time
 }
--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -142,6 +142,21 @@
 	return a.state.heard
 }
 
+// hearResponse records that the headers of the response have arrived.
+func (a *attempt) hearResponse() {
+	s := &a.call.attempts
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.state.heard, a.state.responded = time.Now(), true
+}
+
+func (a *attempt) hasResponded() bool {
+	s := &a.call.attempts
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return a.state.responded
+}
+
 // heardAt returns the time of the last call of hear; the zero value if there was none.
 func (a *attempt) heardAt() time.Time {
 	s := &a.call.attempts
