forwarder: read what arrived in a pause before endpoints count as silent

A gateway that was paused for over 1.2 s took all its endpoints for silent at once when it went on, though their responses lay in its sockets: they became suspect, and the retry budget was spent on second attempts. Found in review.

A timer that fires more than 0.3 s late now waits for that long once, in which what has arrived is read.

--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -18,6 +18,9 @@
 // errSuperseded ends an attempt because another one has gone on with the response.
 var errSuperseded = &Error{Op: "read response", Kind: classifier.Timeout, Err: errors.New("another attempt has gone on with the response")}
 
+// maxTimerDelay is the delay of a timer from which the process counts as paused.
+const maxTimerDelay = 300 * time.Millisecond
+
 // acquire waits for a lease until a silent attempt goes on.
 func (c *call) acquire() (*dispatcher.Lease, error) {
 	ctx, cancel := context.WithCancel(c.ctx)
@@ -174,6 +177,14 @@
 	if st.ended || st.silent || st.due.IsZero() || time.Now().Before(st.due) {
 		return
 	}
+	if time.Since(st.due) > maxTimerDelay {
+		// The process was paused, or has waited for the caller. What has arrived
+		// meanwhile is read first.
+		st.due = time.Now().Add(maxTimerDelay)
+		st.askAfter = st.due
+		a.silence.Reset(maxTimerDelay)
+		return
+	}
 	st.silent, st.reported = true, false
 	if s.writer == a {
 		s.writer = nil
--- a/forwarder/version_test.go
+++ b/forwarder/version_test.go
@@ -1,7 +1,9 @@
 package forwarder_test
 
 import (
+	"errors"
 	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
@@ -43,7 +45,10 @@
 	got := make(chan string, 1)
 	go func() { got <- sendRequest(s.URL, "any") }()
 	select {
-	case <-ended:
+	case err := <-ended:
+		if !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("the connection ended with %v, want a reset", err)
+		}
 	case <-time.After(4 * time.Second):
 	}
 	if d := time.Since(named); d > within {
