forwarder, gateway: one name for attempts that another one replaced

superseded in both packages; the log's reason superseded was overtaken in one of them. hold is writes, plan is history, and serve says what it relies on. No behaviour changes.

--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -202,7 +202,7 @@
 	if s.writer == nil && !a.state.superseded {
 		s.supersede(a)
 	}
-	return a.hold()
+	return a.writes()
 }
 
 // claimAlone does the same if the attempt is the only one and its endpoint isn't silent.
@@ -213,7 +213,7 @@
 	if s.writer == nil && !a.state.superseded && !a.state.silent && len(s.running) == 1 {
 		s.supersede(a)
 	}
-	return a.hold()
+	return a.writes()
 }
 
 // isWriter reports whether the attempt may write to the caller, as claim does, but doesn't
@@ -222,11 +222,12 @@
 	s := &a.call.attempts
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return a.hold()
+	return a.writes()
 }
 
-// hold is called with the lock held.
-func (a *attempt) hold() bool {
+// writes reports whether the attempt is the writer, whose endpoint then isn't silent. It is
+// called with the lock held.
+func (a *attempt) writes() bool {
 	if a.call.attempts.writer != a {
 		return false
 	}
--- a/forwarder/hedge_test.go
+++ b/forwarder/hedge_test.go
@@ -35,7 +35,7 @@
 
 // An endpoint whose request another one has answered must not go on with it, and its slot must
 // be free again.
-func TestOvertakenEndpointStops(t *testing.T) {
+func TestSupersededEndpointStops(t *testing.T) {
 	f, all := newHandler(t, 2)
 	resets := holdRequests(all, "hold", "ok")
 	s := httptest.NewServer(f)
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -125,13 +125,14 @@
 	return b
 }
 
-// serve makes attempts until the call is finished.
+// serve makes attempts until the call is finished. It waits only while an attempt that isn't
+// superseded is under way, or next would never return.
 func (c *call) serve() {
 	defer c.join()
-	var p plan
+	var h history
 	for another := true; ; {
 		if another {
-			if err := c.startAttemptInTime(); err != nil && c.isEndedBy(err, p.last) {
+			if err := c.startAttemptInTime(); err != nil && c.isEndedBy(err, h.last) {
 				return
 			}
 		}
@@ -141,7 +142,7 @@
 			continue
 		}
 		var done bool
-		if another, done = c.handleEnd(a, &p); done {
+		if another, done = c.handleEnd(a, &h); done {
 			return
 		}
 	}
@@ -158,8 +159,8 @@
 	return false
 }
 
-// plan is what the attempts so far mean for the next one.
-type plan struct {
+// history is what the ended attempts mean for the next one and for the answer.
+type history struct {
 	// last is the result of the last attempt that may have run, or of the first one.
 	last        attemptResult
 	failedDials int
@@ -193,7 +194,7 @@
 
 // handleEnd reports whether another attempt is to be made after one has ended, and whether
 // the call is finished.
-func (c *call) handleEnd(a *attempt, p *plan) (another, done bool) {
+func (c *call) handleEnd(a *attempt, h *history) (another, done bool) {
 	v := a.state.result
 	c.lease = a.lease
 	if a.sent && !a.counted {
@@ -206,12 +207,12 @@
 		return false, false
 	}
 	if !a.sent {
-		p.failedDials++
+		h.failedDials++
 	}
-	if p.last.err == nil && p.last.response == nil || v.outcome != retrier.NotRun {
+	if h.last.err == nil && h.last.response == nil || v.outcome != retrier.NotRun {
 		// The response depends on the last attempt that may have run, even if a
 		// later attempt did not run.
-		p.last = v
+		h.last = v
 	}
 	if c.completeIfAnswered(v) {
 		return false, true
@@ -226,7 +227,7 @@
 	}
 	decision := retrier.Decision{Retry: true, Reason: "no-connection"}
 	var unavailable error
-	if a.sent || p.failedDials >= maxFailedDials || c.ctx.Err() != nil {
+	if a.sent || h.failedDials >= maxFailedDials || c.ctx.Err() != nil {
 		unavailable = c.handler.Dispatcher.Available(c.dispatcherRequest())
 		decision = c.retryDecision(v, a.sent, unavailable == nil)
 	}
@@ -238,9 +239,9 @@
 		c.attempts.askAgain(time.Now().Add(askAgainInterval))
 		return false, false
 	case decision.Reason == retrier.NoEndpoint:
-		c.handleAcquireError(unavailable, p.last)
+		c.handleAcquireError(unavailable, h.last)
 	default:
-		c.giveUp(p.last, decision.Reason)
+		c.giveUp(h.last, decision.Reason)
 	}
 	return false, true
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -156,8 +156,8 @@
 	g := c.gateway
 	a := attemptResult{outcome: retrier.Unknown, reason: "connection", detail: "the endpoint did not answer"}
 	switch {
-	case errors.Is(context.Cause(ctx), errOvertaken):
-		a.reason, a.detail = "overtaken", errOvertaken.Error()
+	case errors.Is(context.Cause(ctx), errSuperseded):
+		a.reason, a.detail = "superseded", errSuperseded.Error()
 	case sentNothing:
 		a.outcome, a.detail = retrier.NotRun, "the endpoint can't be reached"
 	case ctx.Err() != nil:
@@ -211,7 +211,7 @@
 		}
 		a.watch.recordFrame()
 		if !a.writeFrame(f, version) {
-			return attemptResult{outcome: retrier.Failed, reason: "overtaken", detail: errOvertaken.Error()}
+			return attemptResult{outcome: retrier.Failed, reason: "superseded", detail: errSuperseded.Error()}
 		}
 	}
 }
@@ -231,7 +231,7 @@
 		return attemptResult{outcome: retrier.Unknown, reason: "oversized", detail: "the answer is larger than 16 MiB"}
 	}
 	if !a.writeWhole(r, b) {
-		return attemptResult{outcome: retrier.Failed, reason: "overtaken", detail: errOvertaken.Error()}
+		return attemptResult{outcome: retrier.Failed, reason: "superseded", detail: errSuperseded.Error()}
 	}
 	a.call.recordSuccess(a, r.StatusCode)
 	return attemptResult{finished: true}
--- a/internal/gateway/race.go
+++ b/internal/gateway/race.go
@@ -14,9 +14,9 @@
 	"github.com/eelgrassdrift/eelgrassdrift/streamer"
 )
 
-// errOvertaken is the cancellation cause of an attempt that another one of the same
-// call has replaced.
-var errOvertaken = errors.New("another attempt answered first")
+// errSuperseded is the cancellation cause of an attempt that another one of the same
+// call has superseded.
+var errSuperseded = errors.New("another attempt answered first")
 
 // attempt is one attempt of a call. While its endpoint is silent another attempt may
 // run beside it. The one that has the next event or the whole answer first goes on,
@@ -31,8 +31,8 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	watch  *watchdog
-	// overtaken is guarded by call.mu.
-	overtaken bool
+	// superseded is guarded by call.mu.
+	superseded bool
 
 	// result and panicked are set when the attempt has ended.
 	result   attemptResult
@@ -67,28 +67,28 @@
 }
 
 // report records the result in the endpoint table, unless the caller disconnected. An
-// overtaken attempt failed if its endpoint is still silent.
+// superseded attempt failed if its endpoint is still silent.
 func (a *attempt) report() {
 	if a.target.reportResult == nil || a.call.q.Context().Err() != nil {
 		return
 	}
-	if !a.isOvertaken() {
+	if !a.isSuperseded() {
 		a.target.reportResult(!a.result.finished && a.result.outcome != retrier.NotRun)
 	} else if a.watch.isSilent() {
 		a.target.reportResult(true)
 	}
 }
 
-func (a *attempt) isOvertaken() bool {
+func (a *attempt) isSuperseded() bool {
 	a.call.mu.Lock()
 	defer a.call.mu.Unlock()
-	return a.overtaken
+	return a.superseded
 }
 
 // claim makes a the attempt that answers the caller and cancels the others. It reports
-// false if a itself was overtaken or the caller has its answer. The caller holds c.mu.
+// false if a itself was superseded or the caller has its answer. The caller holds c.mu.
 func (c *call) claim(a *attempt) bool {
-	if a.overtaken || c.answered {
+	if a.superseded || c.answered {
 		return false
 	}
 	c.cancelAllBut(a)
@@ -98,9 +98,9 @@
 // cancelAllBut cancels the running attempts but a. The caller holds c.mu.
 func (c *call) cancelAllBut(a *attempt) {
 	for _, o := range c.running {
-		if o != a && !o.overtaken {
-			o.overtaken = true
-			o.cancel(errOvertaken)
+		if o != a && !o.superseded {
+			o.superseded = true
+			o.cancel(errSuperseded)
 		}
 	}
 }
@@ -150,13 +150,13 @@
 		case <-c.silent:
 			c.beginSuccessor(ctx)
 		case a := <-c.ended:
-			overtaken := c.remove(a)
+			superseded := c.remove(a)
 			switch {
 			case a.panicked != nil:
 				panic(a.panicked)
 			case a.result.finished:
 				return false
-			case overtaken:
+			case superseded:
 				continue
 			case c.isAnyRunning():
 				c.ran = c.ran || a.result.outcome != retrier.NotRun
@@ -215,7 +215,7 @@
 func (c *call) silentAttempt() *attempt {
 	var last *attempt
 	for _, a := range c.running {
-		if a.isOvertaken() {
+		if a.isSuperseded() {
 			continue
 		}
 		if !a.watch.isSilent() {
@@ -227,15 +227,15 @@
 }
 
 func (c *call) isAnyRunning() bool {
-	return slices.ContainsFunc(c.running, func(a *attempt) bool { return !a.isOvertaken() })
+	return slices.ContainsFunc(c.running, func(a *attempt) bool { return !a.isSuperseded() })
 }
 
-// remove forgets an attempt that has ended and reports whether it was overtaken.
+// remove forgets an attempt that has ended and reports whether it was superseded.
 func (c *call) remove(a *attempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.running = slices.DeleteFunc(c.running, func(o *attempt) bool { return o == a })
-	return a.overtaken
+	return a.superseded
 }
 
 // end cancels the attempts that still run and waits for them, as they use the request.
