--- a/tools/check.sh
+++ b/tools/check.sh
@@ -32,8 +32,8 @@
 plain=$(go list ./... | grep -vE "$heavy" | grep -vxF "$rapid")
 go test -race -timeout 20m $plain
 go test -race -timeout 20m $rapid -rapid.seed=1
-# The skipped tests are listed in KNOWN-RED.txt, which is printed below.
 go test -race -timeout 20m ./platform
+# The skipped tests are listed in KNOWN-RED.txt, which is printed below.
 go test -timeout 30m -p 1 -skip '^TestSlowSourcesOverWideLink$' ./distributor ./internal/policysim
 # The messages of failed specs are repeated at the end, where a cut record still shows them.
 report="$PWD/bin/e2e.xml"
