forwarder: tests of the queue at a stop and of slow callers don't depend on the load

TestStopWhileQueued slept twice for 50 ms and expected that four requests of 150 ms still ran then. The test now waits until four requests have slots and one is queued, and lets the endpoint answer after the stop. With the check of attempt.checkLease off it says "the callers got map[200 hello:5]".

Limit and pause are 1 s and 100 ms now: the pause is a larger part of the limit (0.1 in place of 0.07), and the whole response takes 2.8 times the limit (1.9 before). With one limit for the whole response the test fails.

--- a/forwarder/handler_test.go
+++ b/forwarder/handler_test.go
@@ -69,6 +69,8 @@
 	lastID map[net.Conn]string
 	// onHold is called with the connection of a request whose step is "hold".
 	onHold func(net.Conn)
+	// released ends the wait of the step "wait".
+	released chan struct{}
 	// floodedBytes counts the bytes sent in endless responses.
 	floodedBytes atomic.Int64
 }
@@ -170,6 +172,8 @@
 		out = head("200 OK", id, "X-Cold: "+argument+"\r\nContent-Length: 5\r\n\r\nhello")
 	case "slow":
 		time.Sleep(time.Duration(n) * time.Millisecond)
+	case "wait":
+		<-b.released
 	case "fail":
 		out = head("500 Broken", id, "Content-Length: 3\r\n\r\nbad")
 	case "unproved":
--- a/forwarder/slow_caller_test.go
+++ b/forwarder/slow_caller_test.go
@@ -35,7 +35,7 @@
 // A caller that reads slowly, but goes on reading, must get its whole response.
 func TestCallerReadsSlowly(t *testing.T) {
 	f, all := newHandler(t, 1)
-	f.WriteTimeout = 300 * time.Millisecond
+	f.WriteTimeout = time.Second
 	all[0].script = &script{steps: []string{"large"}}
 	c := sendSlowly(t, serve(t, f), "any", 256<<10)
 	defer func() { _ = c.Close() }()
@@ -46,7 +46,7 @@
 		if read += n; err != nil {
 			t.Fatalf("%d of %d bytes: %v", read, largeBody, err)
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
 	}
 }
 
--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
 )
 
@@ -124,19 +125,32 @@
 	}
 }
 
+// waitUntil waits for a state of the gateway before the next step of a test.
+func waitUntil(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("after 5 s it isn't true that %s", what)
+		}
+	}
+}
+
 // A request that has waited for a slot until it may not end any more must not be sent.
 func TestStopWhileQueued(t *testing.T) {
 	f, all := newHandler(t, 1)
-	all[0].script = &script{steps: strings.Split(strings.Repeat("slow 150,", 4), ",")}
+	all[0].script = &script{steps: strings.Split(strings.Repeat("wait,", 4), ",")}
+	all[0].released = make(chan struct{})
 	url := serve(t, f)
 	got := make(chan string, 5)
 	for i := range 4 {
 		go func() { got <- sendRequestWithID(url, "any", fmt.Sprint(i)) }()
 	}
-	time.Sleep(50 * time.Millisecond)
+	status := func() dispatcher.Status { return f.Dispatcher.Status()[0] }
+	waitUntil(t, "four requests have slots", func() bool { return status().InFlight == 4 })
 	go func() { got <- sendRequestWithID(url, "once", "queued") }()
-	time.Sleep(50 * time.Millisecond)
+	waitUntil(t, "the fifth is queued", func() bool { return status().Queued == 1 })
 	f.Stop(time.Now().Add(routeTimeout / 2))
+	close(all[0].released)
 	answers := make(map[string]int)
 	for range 5 {
 		answers[<-got]++
