--- a/tools/check.sh
+++ b/tools/check.sh
@@ -28,9 +28,12 @@
   go list -f '{{$p := .ImportPath}}{{range .XTestImports}}{{if eq . "'"$1"'"}}{{$p}}{{"\n"}}{{end}}{{end}}{{range .TestImports}}{{if eq . "'"$1"'"}}{{$p}}{{"\n"}}{{end}}{{end}}' ./... | sort -u | grep .
 }
 heavy='/(e2e|distributor|policysim|platform)$'
+# These tests wait for time-outs of the product and bounds of the specification.
+timed='/(forwarder|dispatcher|relayer|internal/(agent|direct|gateway|listener|measure))$'
 rapid=$(importers pgregory.net/rapid | grep -vE "$heavy")
-plain=$(go list ./... | grep -vE "$heavy" | grep -vxF "$rapid")
+plain=$(go list ./... | grep -vE "$heavy|$timed" | grep -vxF "$rapid")
 go test -race -timeout 20m $plain
+go test -race -timeout 20m -p 1 $(go list ./... | grep -E "$timed" | grep -vxF "$rapid")
 go test -race -timeout 20m $rapid -rapid.seed=1
 go test -race -timeout 20m ./platform
 # The skipped tests are listed in KNOWN-RED.txt, which is printed below.
