direct: wait for a young endpoint list after a short pause

Cause: after a pause below 1 s (minListPause) a gateway used its endpoint list however old it was. A gateway that was turned away from the store and then paused for 0.9 s sent requests on a list that was older than the drain time to an endpoint that had begun to drain 2.11 s before (DRAIN, allowed are 2 s). Nothing but the length of the pause was checked, not the age of the list.

Change: for 1 s (maxListWait) after each noticed pause (over 300 ms) a request waits while the list is older than 0.9 of the drain time and wasn't read since the pause. The reader of the list is woken. Without a pause, or with a list that is young enough, nothing waits. While nobody can read the list, requests wait for 1 s of running time in all and not at each pause: a new wait begins only for a list that was confirmed after the last one began. The rule for pauses of 1 s and more stays; it now wakes the reader too. The code moves from gateway.go to list_wait.go. timekeeper.Monitor returns all that it knows of pauses at once (Pauses in place of LongPauseEnd); TestLongPauseEnd asks the same of its field LongEnd.

Tests: TestOldListAfterShortPause, TestListGetsOldAfterShortPause and TestOldListIsAwaitedOnce; on the code before: "old list: the list is current: true, want false", "a list of 1.9 s is current 0.3 s after a pause", and four like these. New in timekeeper: TestTotalOfPauses.

--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -30,12 +30,6 @@
 	// maxBeatInterval is the time between two updates from which the process counts as
 	// paused. A loaded process is late by less.
 	maxBeatInterval = 300 * time.Millisecond
-	// minListPause is the length of a pause after which the endpoint list is read again
-	// before it is used. A list may be that old without a pause.
-	minListPause = time.Second
-	// maxListWait is how long requests wait for a new endpoint list after a pause of the
-	// process.
-	maxListWait = time.Second
 	// sweepInterval is the interval at which idle connections are closed.
 	sweepInterval = time.Second
 	// announceRetryInterval is the pause between attempts to write the gateway record.
@@ -101,6 +95,7 @@
 	front      *forwarder.Handler
 	lag        lag
 	monitor    timekeeper.Monitor
+	listWait   listWait
 	callers    listener.Trimmer
 	stopping   atomic.Bool
 }
@@ -168,14 +163,6 @@
 	return nil
 }
 
-// isCurrent reports whether the endpoint list was read since the last long pause of the
-// process. In the pause endpoints may have left, and others may use their addresses. If
-// nothing can be read, the old list is used after maxListWait.
-func (g *Gateway) isCurrent() bool {
-	end := g.monitor.LongPauseEnd()
-	return timekeeper.Now().Sub(end) > maxListWait || g.follower.listInUse().After(end)
-}
-
 // retryBurst returns this gateway's part of RetryExtra.
 func (g *Gateway) retryBurst() float64 {
 	return g.RetryExtra / max(minRetryGateways, retryGatewayFactor*float64(g.follower.state.GatewayCount()))
--- /dev/null
+++ b/internal/direct/list_wait.go
@@ -0,0 +1,66 @@
+package direct
+
+import (
+	"sync"
+	"time"
+
+	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
+)
+
+const (
+	// minListPause is the length of a pause after which the endpoint list is read again
+	// before it is used, however young it is.
+	minListPause = time.Second
+	// maxListWait is how long requests wait for a new endpoint list after a pause of the
+	// process.
+	maxListWait = time.Second
+	// listAgeShare is the age of the endpoint list up to which it is used after a shorter
+	// pause, as a part of the time after which a draining endpoint must get no more
+	// requests. The rest is for the way of a request to its endpoint.
+	listAgeShare = 0.9
+)
+
+// listWait is the time for which requests have waited for a list that replaces an old one.
+// The zero value is ready to use; its methods may be called concurrently.
+type listWait struct {
+	mu sync.Mutex
+	// began is when the wait began, and paused the length of all pauses before it.
+	began  time.Time
+	paused time.Duration
+}
+
+// isOver reports whether requests have waited for maxListWait, without pauses of the process,
+// since the list was confirmed at the given time. The first call for a list begins the wait.
+func (w *listWait) isOver(confirmed time.Time, p timekeeper.Pauses) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.began.After(confirmed) {
+		w.began, w.paused = p.Now, p.Total
+	}
+	return p.Now.Sub(w.began)-(p.Total-w.paused) > maxListWait
+}
+
+// isCurrent reports whether requests may go by the endpoint list in use. In a pause of the
+// process endpoints may have left, and others may use their addresses.
+//
+// After a long pause the list must have been read since. After a shorter one, which is about
+// as long as the time between two reads, it must not be too old; it is if the process was
+// turned away from the store as well. If nothing can be read, the old list is used after
+// maxListWait, and after further short pauses at once.
+func (g *Gateway) isCurrent() bool {
+	p, confirmed := g.monitor.Pauses(), g.follower.listInUse()
+	if p.Now.Sub(p.End) > maxListWait || confirmed.After(p.End) {
+		return true
+	}
+	isReadSince := p.Now.Sub(p.LongEnd) > maxListWait || confirmed.After(p.LongEnd)
+	if isReadSince && (p.Now.Sub(confirmed) <= g.maxListAge() || g.listWait.isOver(confirmed, p)) {
+		return true
+	}
+	g.follower.listOutdated()
+	return false
+}
+
+// maxListAge returns the age up to which the endpoint list is used after a short pause.
+func (g *Gateway) maxListAge() time.Duration {
+	return time.Duration(float64(g.Drain) * listAgeShare)
+}
--- /dev/null
+++ b/internal/direct/list_wait_test.go
@@ -0,0 +1,117 @@
+package direct
+
+import (
+	"testing"
+	"time"
+
+	"github.com/eelgrassdrift/eelgrassdrift/observer"
+)
+
+// listClock is a gateway with a clock that the test sets.
+type listClock struct {
+	*Gateway
+	now time.Time
+}
+
+func newListClock() *listClock {
+	c := &listClock{now: time.Unix(1000, 0)}
+	f := &follower{state: &observer.State{}, outdated: make(chan struct{}, 1)}
+	c.Gateway = &Gateway{Drain: 2 * time.Second, follower: f}
+	c.monitor.Limit, c.monitor.Long = maxBeatInterval, minListPause
+	c.monitor.Now = func() time.Time { return c.now }
+	c.monitor.Beat()
+	return c
+}
+
+// run lets the process run for a time.
+func (c *listClock) run(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); c.monitor.Beat() {
+		c.now = c.now.Add(min(updateInterval, end.Sub(c.now)))
+	}
+}
+
+// pause lets the process stand still for a time; there is no beat after it yet.
+func (c *listClock) pause(d time.Duration) { c.now = c.now.Add(d) }
+
+// read applies a list that the platform confirmed some time ago.
+func (c *listClock) read(age time.Duration) {
+	at := c.now.Add(-age)
+	c.follower.listApplied.Store(&at)
+}
+
+// After a pause of less than a second a list may be older than the drain time, if the process
+// was turned away from the store before: requests went to an endpoint that drained.
+func TestOldListAfterShortPause(t *testing.T) {
+	for _, v := range []struct {
+		name string
+		// age is that of the list before the pause, which may be 0.
+		age, pause time.Duration
+		want       bool
+	}{
+		{"no pause", 5 * time.Second, 0, true},
+		{"collection of garbage", 1700 * time.Millisecond, 200 * time.Millisecond, true},
+		{"young list", 700 * time.Millisecond, 900 * time.Millisecond, true},
+		{"old list", 1200 * time.Millisecond, 900 * time.Millisecond, false},
+		{"shortest pause", 1700 * time.Millisecond, maxBeatInterval + 1, false},
+		{"list that was old before", 3 * time.Second, 400 * time.Millisecond, false},
+	} {
+		c := newListClock()
+		c.run(time.Second)
+		c.read(v.age)
+		c.pause(v.pause)
+		if got := c.isCurrent(); got != v.want {
+			t.Errorf("%s: the list is current: %t, want %t", v.name, got, v.want)
+		}
+		if read := len(c.follower.outdated) > 0; read == v.want {
+			t.Errorf("%s: it is read soon: %t, want %t", v.name, read, !v.want)
+		}
+		c.run(updateInterval)
+		c.read(100 * time.Millisecond)
+		if !c.isCurrent() {
+			t.Errorf("%s: a newer list isn't current", v.name)
+		}
+	}
+}
+
+// A list that is young at the end of a pause may become old before the next read.
+func TestListGetsOldAfterShortPause(t *testing.T) {
+	c := newListClock()
+	c.read(1200 * time.Millisecond)
+	c.pause(400 * time.Millisecond)
+	if !c.isCurrent() {
+		t.Error("a list of 1.6 s isn't current")
+	}
+	c.run(300 * time.Millisecond)
+	if c.isCurrent() {
+		t.Error("a list of 1.9 s is current 0.3 s after a pause")
+	}
+}
+
+// Requests must not wait again at each pause while nobody can read the list.
+func TestOldListIsAwaitedOnce(t *testing.T) {
+	c := newListClock()
+	expect := func(when string, want bool) {
+		t.Helper()
+		if got := c.isCurrent(); got != want {
+			t.Errorf("%s: the list is current: %t, want %t", when, got, want)
+		}
+	}
+	c.read(1500 * time.Millisecond)
+	c.pause(500 * time.Millisecond)
+	expect("after a pause", false)
+	c.run(200 * time.Millisecond)
+	c.pause(900 * time.Millisecond)
+	expect("after a pause in the wait", false)
+	c.run(maxListWait - 250*time.Millisecond)
+	expect("before the end of the wait", false)
+	c.run(100 * time.Millisecond)
+	expect("after the wait", true)
+	c.pause(900 * time.Millisecond)
+	expect("after a further pause", true)
+	c.read(700 * time.Millisecond)
+	c.run(time.Second)
+	c.pause(500 * time.Millisecond)
+	expect("after a newer list became old", false)
+	c.run(maxListWait + updateInterval)
+	expect("after the second wait", true)
+}
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -28,7 +28,7 @@
 type Monitor struct {
 	// Limit is the longest time between two calls of Beat that isn't a pause.
 	Limit time.Duration
-	// Long is the length from which LongPauseEnd tells of a pause.
+	// Long is the length of a pause from which Pauses.LongEnd tells of it.
 	Long time.Duration
 	// Now returns the current time; nil means Now of this package.
 	Now func() time.Time
@@ -41,6 +41,20 @@
 	pauseStart, pauseEnd time.Time
 	// longEnd is the end of the last pause that was long by itself.
 	longEnd time.Time
+	// total is the length of all pauses.
+	total time.Duration
+}
+
+// Pauses describes the pauses of the process until now.
+type Pauses struct {
+	// Now is the present time.
+	Now time.Time
+	// End is the end of the last pause, and LongEnd that of the last one of at least
+	// Monitor.Long; the zero time if there was none. Shorter pauses often follow a long
+	// one, as the process has work to catch up.
+	End, LongEnd time.Time
+	// Total is the length of all pauses together.
+	Total time.Duration
 }
 
 // mergeTime is the time between two pauses below which they count as one. It exceeds
@@ -70,6 +84,7 @@
 		m.pauseStart = m.last
 	}
 	m.pauseEnd = now
+	m.total += now.Sub(m.last)
 	if now.Sub(m.last) >= m.Long {
 		m.longEnd = now
 	}
@@ -86,13 +101,12 @@
 	return now
 }
 
-// LongPauseEnd returns the end of the last pause of at least Long; the zero time if there
-// was none. Shorter pauses often follow a long one, as the process has work to catch up.
-func (m *Monitor) LongPauseEnd() time.Time {
+// Pauses returns the pauses until now, also one that ends with this call.
+func (m *Monitor) Pauses() Pauses {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.update()
-	return m.longEnd
+	now := m.update()
+	return Pauses{Now: now, End: m.pauseEnd, LongEnd: m.longEnd, Total: m.total}
 }
 
 // Earliest returns the earliest time of an event that the process began to wait for at
--- a/internal/timekeeper/timekeeper_test.go
+++ b/internal/timekeeper/timekeeper_test.go
@@ -56,24 +56,48 @@
 	now := time.Unix(1000, 0)
 	m := &timekeeper.Monitor{Limit: 200 * time.Millisecond, Long: 4 * time.Second, Now: func() time.Time { return now }}
 	m.Beat()
-	if end := m.LongPauseEnd(); !end.IsZero() {
+	if end := m.Pauses().LongEnd; !end.IsZero() {
 		t.Errorf("a pause until %s without one", end)
 	}
 	now = now.Add(4*time.Second - 1)
-	if end := m.LongPauseEnd(); !end.IsZero() {
+	if end := m.Pauses().LongEnd; !end.IsZero() {
 		t.Errorf("a short pause counts as a long one until %s", end)
 	}
 	now = now.Add(4 * time.Second)
 	woke := now
 	for range 3 {
-		if end := m.LongPauseEnd(); !end.Equal(woke) {
+		if end := m.Pauses().LongEnd; !end.Equal(woke) {
 			t.Errorf("pause until %s, want until %s", end, woke)
 		}
 		m.Beat()
 		now = now.Add(100 * time.Millisecond)
 	}
 	now = now.Add(300 * time.Millisecond)
-	if end := m.LongPauseEnd(); !end.Equal(woke) {
+	if end := m.Pauses().LongEnd; !end.Equal(woke) {
 		t.Errorf("after a short pause: until %s, want until %s", end, woke)
 	}
 }
+
+// The length of pauses must not count as time in which the process has waited.
+func TestTotalOfPauses(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := &timekeeper.Monitor{Limit: 200 * time.Millisecond, Now: func() time.Time { return now }}
+	m.Beat()
+	now = now.Add(150 * time.Millisecond)
+	if p := m.Pauses(); p.Total != 0 || !p.End.IsZero() || !p.Now.Equal(now) {
+		t.Errorf("without a pause: %+v", p)
+	}
+	m.Beat()
+	now = now.Add(500 * time.Millisecond)
+	first := now
+	for range 2 {
+		if p := m.Pauses(); p.Total != 500*time.Millisecond || !p.End.Equal(first) {
+			t.Errorf("after a pause: %+v, want 500ms until %s", p, first)
+		}
+		m.Beat()
+	}
+	now = now.Add(300 * time.Millisecond)
+	if p := m.Pauses(); p.Total != 800*time.Millisecond || !p.End.Equal(now) {
+		t.Errorf("after a second pause: %+v, want 800ms until %s", p, now)
+	}
+}
