dispatcher: revoke leases while the endpoint list is too old

Cause: the age of the endpoint list after a pause was checked at the choice of an endpoint alone.

Change: a lease is revoked while requests may not go by the list. The request was not sent, so it chooses again and waits as a new one does.

Test: TestLeaseWaitsForList; on the code before: "after a pause of 0.9 s a request may be sent on the lease before the list is read".

--- a/dispatcher/availability.go
+++ b/dispatcher/availability.go
@@ -250,11 +250,15 @@
 
 // IsRevoked reports whether the request must not be sent on the lease any more: since it was
 // given, the endpoint has left the list, drains, has said that it leaves or wants no requests,
-// or the time of its version has come near its end.
+// or the time of its version has come near its end; or a pause of the process has made the list
+// too old to tell.
 func (l *Lease) IsRevoked() bool {
 	d := l.d
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.isCurrent() {
+		return true
+	}
 	now := d.now()
 	n := l.pool.nodes[l.Endpoint.ID]
 	if n == nil || processOf(&n.Endpoint) != processOf(&l.Endpoint) {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -30,8 +30,9 @@
 	// means no limit.
 	MaxVersionDelay time.Duration
 	State           *observer.State
-	// IsCurrent reports whether State was read after the last pause of the process; nil
-	// means that it always is. Until then requests wait in the queue.
+	// IsCurrent reports whether requests may go by the endpoint list, which a pause of the
+	// process may have made too old; nil means that they always may. Until then requests
+	// wait in the queue. It is called with a lock held.
 	IsCurrent func() bool
 	// Outdated is called, with a lock held, when an agent reports a process that the
 	// endpoint list lacks; it may be nil and must not block.
--- a/dispatcher/lease_test.go
+++ b/dispatcher/lease_test.go
@@ -29,3 +29,26 @@
 		t.Error("8.05 s after version 2 was named, where 8 s are allowed, a request may still be sent on a lease for version 1")
 	}
 }
+
+// A lease must not be used while the endpoint list is outdated after a short pause: the endpoint
+// may have begun to drain long before.
+func TestLeaseWaitsForList(t *testing.T) {
+	w := newHarness()
+	current := true
+	w.d.IsCurrent = func() bool { return current }
+	w.run("endpoint e1 a 1")
+	w.run("send 1")
+	l := w.leases["e1"][0]
+	if l.IsRevoked() {
+		t.Fatal("the lease is revoked without a pause")
+	}
+	current = false
+	w.run("sleep 900ms")
+	if !l.IsExpired() && !l.IsRevoked() {
+		t.Error("after a pause of 0.9 s a request may be sent on the lease before the list is read")
+	}
+	current = true
+	if l.IsRevoked() {
+		t.Error("the lease is revoked though the list is current")
+	}
+}
--- a/dispatcher/pick.go
+++ b/dispatcher/pick.go
@@ -64,10 +64,13 @@
 	return n.prefill == 0 && n.report.Queued == 0 && ranksFirst(n.ID, d.Name, d.gatewayNames, lateSenders)
 }
 
+// isCurrent reports whether requests may go by the endpoint list.
+func (d *Dispatcher) isCurrent() bool { return d.IsCurrent == nil || d.IsCurrent() }
+
 // pick returns an endpoint that has capacity and a low relative load, or nil.
 // Suspect endpoints are picked only if no other is usable.
 func (d *Dispatcher) pick(p *pool, r Request, now time.Time) *node {
-	if d.IsCurrent != nil && !d.IsCurrent() {
+	if !d.isCurrent() {
 		return nil
 	}
 	n, preferred := d.pickAmong(p, r, now, preferredTier)
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -101,8 +101,8 @@
 var errLeaseExpired = &Error{Op: "send request", Kind: classifier.Timeout, Err: errors.New("the lease has expired")}
 
 // errLeaseRevoked does the same if the endpoint has said meanwhile that it leaves or wants
-// no requests.
-var errLeaseRevoked = &Error{Op: "send request", Kind: classifier.Unavailable, Err: errors.New("the endpoint leaves or is paused")}
+// no requests, or the endpoint list has become too old in a pause of the process.
+var errLeaseRevoked = &Error{Op: "send request", Kind: classifier.Unavailable, Err: errors.New("the endpoint leaves or is paused, or the list is old")}
 
 // checkLease returns an error if the request must not be sent on its lease any more.
 func (a *attempt) checkLease() error {
