agent: a status below 100 is no answer

http.Transport returns a response with a status of 000 to 099 as it is, and http.ResponseWriter panics when it is asked to write one. An engine or a plain service that sent it took the handler's goroutine down: the gateway's connection was closed without an answer, and nothing said why. Such a status now counts like a target that changes the protocol: it has not answered.

--- a/internal/agent/whole.go
+++ b/internal/agent/whole.go
@@ -15,12 +15,12 @@
 )
 
 // send sends a request to the target. A target that changes the protocol, which nobody asked
-// for, has not answered.
+// for, or sends a status below 100, with which no answer can be written, has not answered.
 func send(c *http.Client, q *http.Request) (*http.Response, error) {
 	r, err := c.Do(q)
-	if err == nil && r.StatusCode == http.StatusSwitchingProtocols {
+	if err == nil && r.StatusCode < http.StatusOK {
 		_ = r.Body.Close()
-		return nil, errors.New("the target changed the protocol in place of an answer")
+		return nil, errors.Newf("the target sent status %d in place of an answer", r.StatusCode)
 	}
 	return r, err
 }
