gateway: a status below 100 is no answer

It now counts as an attempt without one: repeated where that is allowed, 502 "unknown" otherwise.

Before: panic: invalid WriteHeader code, and 'Post "http://127.0.0.1:41647/v1/chat/completions": EOF'.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -143,9 +143,9 @@
 		_ = r.Body.Close()
 		return nil, errors.Newf("response to request %q", id)
 	}
-	if connector.IsEndedByClose(r) || r.StatusCode == http.StatusSwitchingProtocols {
+	if connector.IsEndedByClose(r) || r.StatusCode < http.StatusOK {
 		_ = r.Body.Close()
-		return nil, errors.Newf("response %s has neither a length nor chunks", r.Status)
+		return nil, errors.Newf("response %s has neither a length nor chunks, or a status that can't be passed on", r.Status)
 	}
 	return r, nil
 }
