--- a/guarder/status.go
+++ b/guarder/status.go
@@ -29,6 +29,9 @@
 	stateUnknown intentState = "unknown"
 )
 
+// maxStatus is the highest status with which an answer can be written.
+const maxStatus = 999
+
 // intentStatus is the response to GET /v1/intents/{key-digest}.
 type intentStatus struct {
 	// BootID is that of the process that responds. If it differs from the boot id
@@ -131,5 +134,8 @@
 	if (v.State == stateDone) != (v.Answer != nil) {
 		return fail(classifier.OutcomeUnknown, errors.Newf("state %q with answer %t", v.State, v.Answer != nil))
 	}
+	if v.Answer != nil && (v.Answer.Status < http.StatusOK || v.Answer.Status > maxStatus) {
+		return fail(classifier.OutcomeUnknown, errors.Newf("answer with status %d", v.Answer.Status))
+	}
 	return v, nil
 }
