--- a/recorder/declaration_fuzz_test.go
+++ b/recorder/declaration_fuzz_test.go
@@ -1,10 +1,12 @@
 package recorder_test
 
 import (
+	"bytes"
 	"os"
 	"path/filepath"
 	"testing"
 
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 )
 
@@ -27,6 +29,7 @@
 	f.Fuzz(func(t *testing.T, b []byte) {
 		d, err := recorder.ParseDeclaration(b)
 		if err != nil {
+			checkRefusal(t, err, classifier.Invalid)
 			return
 		}
 		c := d.Changes()
@@ -39,8 +42,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := recorder.ParseDeclaration(e); err != nil {
+		again, err := recorder.ParseDeclaration(e)
+		if err != nil {
 			t.Fatalf("encoded declaration was rejected: %v", err)
 		}
+		if x, _ := again.Encode(); !bytes.Equal(x, e) {
+			t.Fatalf("declaration changed after encoding and decoding:\n%s\n%s", e, x)
+		}
 	})
 }
--- a/recorder/manifest_fuzz_test.go
+++ b/recorder/manifest_fuzz_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"reflect"
 	"testing"
 
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 )
 
@@ -25,8 +27,19 @@
 	f.Fuzz(func(t *testing.T, b []byte) {
 		m, err := recorder.DecodeManifest(b, recorder.DigestOf(b))
 		if err != nil {
+			checkRefusal(t, err, classifier.Invalid)
 			return
 		}
+		if err := m.Check(); err != nil {
+			t.Fatal(err)
+		}
+		x, d, err := m.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again, err := recorder.DecodeManifest(x, d); err != nil || !reflect.DeepEqual(again, m) {
+			t.Fatalf("manifest changed after encoding and decoding: %v", err)
+		}
 		var size int64
 		for i := range m.Chunks {
 			n := m.ChunkLen(i)
