--- a/connector/instances_test.go
+++ b/connector/instances_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 
@@ -61,5 +62,13 @@
 				t.Fatalf("an instance with the name %q is listed", string(i.Name))
 			}
 		}
+		x, err := json.Marshal(l)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var again connector.InstanceList
+		if err := json.Unmarshal(x, &again); err != nil || len(again.Refused) > 0 || !slices.Equal(again.Instances, l.Instances) {
+			t.Fatalf("list changed after encoding and decoding: %s, %v, %v", x, again.Refused, err)
+		}
 	})
 }
