distributor: a number of seen holders that overflows names none

A chunk request says how many holders its instance has seen; twice that number overflowed from 2^62 on, and the reply named holders although it must not.

--- a/distributor/holders.go
+++ b/distributor/holders.go
@@ -66,7 +66,7 @@
 	defer h.mu.Unlock()
 	l := h.list(d)
 	count = len(l.names)
-	if count < 2*seen+1 {
+	if count < 2*min(seen, maxHolders)+1 {
 		return count, nil, l.changed
 	}
 	for _, i := range rand.Perm(count)[:min(count, namedHolders)] {
