settings: the URL of a service has no query and no fragment

Paths are added to the end of it. "http://h?y" was accepted, and every request of that client went to the path "" with the query "y/v1/...".

--- a/internal/settings/faults.go
+++ b/internal/settings/faults.go
@@ -62,10 +62,10 @@
 }
 
 // URL validates the base URL of an HTTP service and returns it without a trailing
-// slash.
+// slash. A query or a fragment is refused, because paths are added at the end.
 func (f *Faults) URL(setting, value string) string {
 	u, err := url.Parse(value)
-	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" || strings.ContainsAny(value, "?#") {
 		f.Add(setting, value, "a URL such as http://127.0.0.1:7000")
 		return ""
 	}
