gateway: summaries that stand for too many endpoints are refused

A gateway has a view of each endpoint of another failure domain, as many as its summaries say, built several times a second. A message of 41 bytes said and would take the memory of the process. A list that stands for more than 65536 endpoints, or has more entries, is now refused and logged; the largest failure domain planned has a few thousand.

--- a/internal/agent/requests_test.go
+++ b/internal/agent/requests_test.go
@@ -133,7 +133,7 @@
 
 // newTestAgent returns an agent that has read back version v1 of the engine's
 // boot, and its handler for gateways.
-func newTestAgent(t *testing.T, serves, url string) (*Agent, http.Handler) {
+func newTestAgent(t testing.TB, serves, url string) (*Agent, http.Handler) {
 	t.Helper()
 	m, err := meter.New("agent-test")
 	check(t, err)
@@ -154,7 +154,7 @@
 }
 
 // record applies the next record of the log.
-func record(t *testing.T, a *Agent, c ...recorder.Change) {
+func record(t testing.TB, a *Agent, c ...recorder.Change) {
 	t.Helper()
 	r := recorder.Record{Format: recorder.Format, Operation: uuid.New(), Author: "anna", Changes: c}
 	b, err := r.Encode()
@@ -162,7 +162,7 @@
 	check(t, a.replica.Apply(a.replica.Current().Offset+1, b))
 }
 
-func check(t *testing.T, err error) {
+func check(t testing.TB, err error) {
 	t.Helper()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -184,7 +184,7 @@
 
 // newTestGateway returns a gateway that knows two endpoints for a model and for
 // a service.
-func newTestGateway(t *testing.T, e *scriptedEndpoints) *Gateway {
+func newTestGateway(t testing.TB, e *scriptedEndpoints) *Gateway {
 	t.Helper()
 	m, err := meter.New("gateway-test")
 	check(t, err)
@@ -238,7 +238,7 @@
 
 func endpointName(name, serves string) recorder.Name { return recorder.Name(name + "-" + serves[:5]) }
 
-func check(t *testing.T, err error) {
+func check(t testing.TB, err error) {
 	t.Helper()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/domains.go
+++ b/internal/gateway/domains.go
@@ -72,6 +72,23 @@
 	return slices.Compact(out)
 }
 
+// maxReportedEndpoints bounds the endpoints of a failure domain. Each one has a view here.
+const maxReportedEndpoints = 1 << 16
+
+// updateDomain stores the summaries from a gateway of another failure domain, unless they
+// stand for more endpoints than one has; nil means that its stream ended.
+func (g *Gateway) updateDomain(stream uint64, name, address string, s []*relayv1.Summary) {
+	n := uint64(0)
+	for _, v := range s {
+		n += uint64(v.Endpoints)
+	}
+	if max(n, uint64(len(s))) > maxReportedEndpoints {
+		g.Log.Warn().Str("failure-domain", name).Uint64("endpoints", n).Msg("summaries refused")
+		return
+	}
+	g.domains.update(stream, name, address, s)
+}
+
 // update stores the summaries from a gateway of another failure domain; nil
 // means that its stream ended.
 func (d *domains) update(stream uint64, name, address string, s []*relayv1.Summary) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -201,7 +201,7 @@
 	g.endpoints = relayer.Endpoints{
 		Update:       func(s *relayv1.EndpointStatus) { g.updateEndpoint(s) },
 		Remove:       func(i string) { g.table.Remove(recorder.Name(i)) },
-		Summaries:    g.domains.update,
+		Summaries:    g.updateDomain,
 		OwnSummaries: g.summaries,
 		OwnDemand:    g.ownDemand,
 		Demand:       g.demands.update,
