gateway: demand of a peer that is no rate is left out

NaN and infinite demand made the share of that account's limit NaN, and negative demand could make it any number. Such a value is now left out, as if the account had none.

--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 
@@ -25,7 +26,8 @@
 	demand           divider.Demand
 }
 
-// update stores the demand reported on a stream; nil means that the stream ended.
+// update stores the demand reported on a stream; nil means that the stream ended. A value
+// that is no rate is left out: with one, the share of an account would be none as well.
 func (d *demands) update(stream uint64, peer *relayv1.Hello, m *relayv1.Demand) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -38,7 +40,9 @@
 	}
 	h := peerDemand{instance: peer.Instance, domain: peer.FailureDomain, demand: make(divider.Demand)}
 	for a, r := range m.RequestsPerSecond {
-		h.demand[recorder.Name(a)] = float64(r)
+		if r >= 0 && r <= math.MaxFloat32 {
+			h.demand[recorder.Name(a)] = float64(r)
+		}
 	}
 	d.byStream[stream] = h
 }
