relayer: a change of members names an instance once

A malformed change with two entries of an instance gave a list with both, of which the sources of chunks were taken. The last entry now holds.

--- a/relayer/members.go
+++ b/relayer/members.go
@@ -52,7 +52,8 @@
 	return c
 }
 
-// applyMembers returns a new list with the change applied, sorted by instance.
+// applyMembers returns a new list with the change applied, sorted by instance. Of several
+// entries of an instance the last one holds.
 func applyMembers(old *relayv1.Members, c *relayv1.MembersChange) *relayv1.Members {
 	replaced := make(map[string]bool, len(c.Changed)+len(c.Removed))
 	for _, m := range c.Changed {
@@ -62,11 +63,13 @@
 		replaced[i] = true
 	}
 	next := &relayv1.Members{Members: slices.Clone(c.Changed)}
+	slices.Reverse(next.Members)
 	for _, m := range old.GetMembers() {
 		if !replaced[m.Instance] {
 			next.Members = append(next.Members, m)
 		}
 	}
-	slices.SortFunc(next.Members, func(a, b *relayv1.Member) int { return strings.Compare(a.Instance, b.Instance) })
+	slices.SortStableFunc(next.Members, func(a, b *relayv1.Member) int { return strings.Compare(a.Instance, b.Instance) })
+	next.Members = slices.CompactFunc(next.Members, func(a, b *relayv1.Member) bool { return a.Instance == b.Instance })
 	return next
 }
