forwarder: tests of a stop wait until calls have got where it meets them

They waited 50 to 200 ms for requests to reach the endpoint or the queue. They now wait for the endpoint's requests, the queue, the first byte or the dial, and the bound of 500 ms counts from the cut as it did before.

A gateway always calls Stop first, and so does the test now. A queued request whose slots the cut doesn't free is added, where only the cut can end it. TestStopWhileQueued now also wants the reason of the refusal, as a full queue is refused with the same status.

--- a/forwarder/handler_test.go
+++ b/forwarder/handler_test.go
@@ -69,6 +69,8 @@
 	lastID map[net.Conn]string
 	// onHold is called with the connection of a request whose step is "hold".
 	onHold func(net.Conn)
+	// release is closed when the requests whose step is "wait" are answered.
+	release chan struct{}
 	// floodedBytes counts the bytes sent in endless responses.
 	floodedBytes atomic.Int64
 }
@@ -78,7 +80,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &fakeEndpoint{Listener: l, lastID: make(map[net.Conn]string)}
+	b := &fakeEndpoint{Listener: l, lastID: make(map[net.Conn]string), release: make(chan struct{})}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
@@ -170,6 +172,8 @@
 		out = head("200 OK", id, "X-Cold: "+argument+"\r\nContent-Length: 5\r\n\r\nhello")
 	case "slow":
 		time.Sleep(time.Duration(n) * time.Millisecond)
+	case "wait":
+		<-b.release
 	case "fail":
 		out = head("500 Broken", id, "Content-Length: 3\r\n\r\nbad")
 	case "unproved":
@@ -214,6 +218,23 @@
 	return keep
 }
 
+// requests returns the number of requests that have arrived.
+func (b *fakeEndpoint) requests() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.seen)
+}
+
+// await waits until a state is reached.
+func await(t *testing.T, what string, isReached func() bool) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); !isReached(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("not within 10 s: %s", what)
+		}
+	}
+}
+
 func (b *fakeEndpoint) previousID(c net.Conn) (string, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -10,16 +10,20 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
+	"github.com/eelgrassdrift/eelgrassdrift/resolver"
 )
 
 // A log that calls a request that the end of a planned stop cut one that its caller left can't
@@ -31,11 +35,11 @@
 		f.Log = zerolog.New(&log)
 		var outcomes []string
 		f.Observe = func(r forwarder.Result) { outcomes = append(outcomes, r.Outcome) }
-		all[0].script = &script{steps: []string{"slow 600"}}
+		all[0].script = &script{steps: []string{"wait"}}
 		s := httptest.NewServer(f)
 		done := make(chan string, 1)
 		go func() { done <- sendRequest(s.URL, "once") }()
-		time.Sleep(200 * time.Millisecond)
+		await(t, "request at the endpoint", func() bool { return all[0].requests() == 1 })
 		if n := 0; cut {
 			if n = f.Cut(); n != 1 {
 				t.Errorf("%s: %d calls were cut, want 1", name, n)
@@ -44,6 +48,7 @@
 		s.CloseClientConnections()
 		<-done
 		s.Close()
+		close(all[0].release)
 		if len(outcomes) != 1 || outcomes[0] != name || !bytes.Contains(log.Bytes(), []byte(`"outcome":"`+name+`"`)) {
 			t.Errorf("%s: outcomes %q, the log says %s", name, outcomes, log.Bytes())
 		}
@@ -126,17 +131,17 @@
 
 // A request that has waited for a slot until it may not end any more must not be sent.
 func TestStopWhileQueued(t *testing.T) {
-	f, all := newHandler(t, 1)
-	all[0].script = &script{steps: strings.Split(strings.Repeat("slow 150,", 4), ",")}
-	url := serve(t, f)
-	got := make(chan string, 5)
-	for i := range 4 {
-		go func() { got <- sendRequestWithID(url, "any", fmt.Sprint(i)) }()
+	f, all := newHandlerWithTimeout(t, 1, slotsTimeout)
+	var mu sync.Mutex
+	outcomes := make(map[string]int)
+	f.Observe = func(r forwarder.Result) {
+		mu.Lock()
+		defer mu.Unlock()
+		outcomes[r.Outcome]++
 	}
-	time.Sleep(50 * time.Millisecond)
-	go func() { got <- sendRequestWithID(url, "once", "queued") }()
-	time.Sleep(50 * time.Millisecond)
-	f.Stop(time.Now().Add(routeTimeout / 2))
+	got := fillSlots(t, f, all[0])
+	f.Stop(time.Now().Add(slotsTimeout / 2))
+	close(all[0].release)
 	answers := make(map[string]int)
 	for range 5 {
 		answers[<-got]++
@@ -147,6 +152,34 @@
 	if got := summarizeRequests(all); got != "  sent 4 ran 4\n" {
 		t.Errorf("the endpoint got %q, want the four requests that were not queued", got)
 	}
+	await(t, "five observed calls", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return outcomes["served"]+outcomes["stopping"] == 5
+	})
+	if outcomes["stopping"] != 1 {
+		t.Errorf("outcomes %v, want one request refused because of the stop", outcomes)
+	}
+}
+
+// slotsTimeout is the timeout of the routes where slots are full. It leaves a queued request
+// more time in the queue than a busy machine needs.
+const slotsTimeout = 8 * time.Second
+
+// fillSlots sends four requests, which take the slots of an endpoint until its release, and one
+// that is queued after them. It returns their responses.
+func fillSlots(t *testing.T, f *forwarder.Handler, b *fakeEndpoint) <-chan string {
+	t.Helper()
+	b.script = &script{steps: []string{"wait", "wait", "wait", "wait"}}
+	url := serve(t, f)
+	got := make(chan string, 5)
+	for i := range 4 {
+		go func() { got <- sendRequestWithID(url, "any", fmt.Sprint(i)) }()
+	}
+	await(t, "four requests at the endpoint", func() bool { return b.requests() == 4 })
+	go func() { got <- sendRequestWithID(url, "once", "queued") }()
+	await(t, "a request in the queue", func() bool { return f.Dispatcher.Status()[0].Queued == 1 })
+	return got
 }
 
 // A request that the end of a planned stop cuts must be told whether it may have run. Before,
@@ -166,14 +199,32 @@
 			_, err := io.Copy(io.Discard, c)
 			reset <- err
 		}
-		url := serve(t, f)
-		time.AfterFunc(200*time.Millisecond, func() { f.Cut() })
-		began := time.Now()
-		if got := sendRequest(url, c.route); got != c.want {
+		begun, cut := make(chan struct{}), make(chan time.Time, 1)
+		ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotFirstResponseByte: func() {
+			if c.route == "resume" {
+				close(begun)
+			}
+		}})
+		go func() {
+			if c.route == "resume" {
+				<-begun
+			}
+			for all[0].requests() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			cut <- time.Now()
+			f.Cut()
+		}()
+		if got := receive(newRequest(ctx, serve(t, f), c.route, "id-1")); got != c.want {
 			t.Errorf("%s, %s: the caller got %q, want %q", c.route, c.step, got, c.want)
 		}
-		if d := time.Since(began); d > 700*time.Millisecond {
-			t.Errorf("%s, %s: the caller got its answer only after %s", c.route, c.step, d)
+		select {
+		case at := <-cut:
+			if d := time.Since(at); d > 500*time.Millisecond {
+				t.Errorf("%s, %s: the caller got its answer only %s after the cut", c.route, c.step, d)
+			}
+		default:
+			t.Errorf("%s, %s: the caller got its answer before the cut", c.route, c.step)
 		}
 		if c.step != "hold" {
 			continue
@@ -187,17 +238,13 @@
 // A request that waits for a slot at the end of a planned stop, or for a connection, has never
 // been sent; an answer that says that it may have run keeps its caller from a repetition.
 func TestCutRefusesWhatWasNeverSent(t *testing.T) {
-	f, all := newHandler(t, 1)
-	all[0].script = &script{steps: strings.Split(strings.Repeat("slow 900,", 4), ",")}
-	url := serve(t, f)
-	got := make(chan string, 5)
-	for i := range 4 {
-		go func() { got <- sendRequestWithID(url, "any", fmt.Sprint(i)) }()
-	}
-	time.Sleep(50 * time.Millisecond)
-	go func() { got <- sendRequestWithID(url, "once", "queued") }()
-	time.Sleep(50 * time.Millisecond)
+	f, all := newHandlerWithTimeout(t, 1, slotsTimeout)
+	got := fillSlots(t, f, all[0])
+	// As in a gateway, Stop comes first: a slot that the cut frees isn't used any more.
+	f.Stop(time.Now())
 	f.Cut()
+	release := all[0].release
+	time.AfterFunc(900*time.Millisecond, func() { close(release) })
 	answers := make(map[string]int)
 	for range 5 {
 		answers[<-got]++
@@ -205,13 +252,29 @@
 	if answers["504 own"] != 4 || answers["503 own retry-after"] != 1 {
 		t.Errorf("the callers got %v", answers)
 	}
+	f, all = newHandlerWithTimeout(t, 1, slotsTimeout)
+	all[0].script = &script{}
+	for range 4 {
+		// A cut doesn't free these slots.
+		r := dispatcher.Request{Service: "s", Until: time.Now().Add(time.Second), Match: resolver.Match{Route: &resolver.Route{}}}
+		if _, err := f.Dispatcher.Acquire(t.Context(), r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	url, queued := serve(t, f), make(chan string, 1)
+	go func() { queued <- sendRequest(url, "once") }()
+	await(t, "a request in the queue", func() bool { return f.Dispatcher.Status()[0].Queued == 1 })
+	f.Cut()
+	if got := <-queued; got != "503 own retry-after" {
+		t.Errorf("the queued caller got %q", got)
+	}
 	f, all = newHandler(t, 1)
 	all[0].script = &script{}
 	f.Transport = &forwarder.Transport{Dial: func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
+		go f.Cut()
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}}
-	time.AfterFunc(100*time.Millisecond, func() { f.Cut() })
 	if got := sendRequest(serve(t, f), "once"); got != "503 own retry-after" {
 		t.Errorf("the caller got %q though no connection was made", got)
 	}
