retrier, forwarder: give back a retry that wasn't made

Cause: Decide takes the retry before a slot is looked for. Where no slot was free in time, where the silent attempt went on during the wait, or where the new attempt was superseded before it had sent anything, no repeat was made and the budget had one retry less.

Change: a Decision knows where its retry was taken from, and Budget.Refund gives it back (an idle retry only within its window). The call keeps the decision until an attempt uses it, and gives it back if none was made or nothing was sent. The limit on repeats that are sent is the same.

A property of Budget compares the retries after refunds with those without.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -40,6 +40,9 @@
 	resumeFrom string
 	// counted reports whether the attempt is among the call's tries.
 	counted bool
+	// retry is the decision that took a retry from the budget for the attempt; the zero value
+	// if none did.
+	retry retrier.Decision
 	// silence calls onSilence when the next part of the response is overdue.
 	silence *time.Timer
 	// state is guarded by the lock of attempts.
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
+	"github.com/eelgrassdrift/eelgrassdrift/retrier"
 )
 
 // Timeouts of an attempt that may be followed by another one.
@@ -71,7 +72,10 @@
 	lastEvent string
 	// tries is the number of attempts that have ended, or whose endpoints have been silent, in
 	// which the request may have been sent.
-	tries     int
+	tries int
+	// retry is the decision that took a retry from the budget for the next attempt; the zero
+	// value if none did.
+	retry     retrier.Decision
 	queueTime time.Duration
 	// bufferedBytes is the size of the buffers that the handler has reserved for the call.
 	bufferedBytes atomic.Int64
--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -9,6 +9,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
+	"github.com/eelgrassdrift/eelgrassdrift/retrier"
 )
 
 // errSilent is the error of an attempt whose endpoint has been silent for so long that
@@ -50,6 +51,7 @@
 		return errSuperseded
 	}
 	c.lease = l
+	a.retry, c.retry = c.retry, retrier.Decision{}
 	c.queueTime += l.Waited
 	go a.serve()
 	return nil
@@ -71,19 +73,32 @@
 // next waits until an attempt has ended, which it removes, or an endpoint has become silent.
 func (c *call) next() (a *attempt, ended bool) {
 	for {
-		if a, ended = c.attempts.take(); a != nil {
-			return a, ended
+		if a, ended = c.attempts.take(); a == nil {
+			<-c.attempts.changed
+			continue
 		}
-		<-c.attempts.changed
+		if ended && !a.sent {
+			// The next attempt uses the retry.
+			c.refundRetry()
+			c.retry = a.retry
+		}
+		return a, ended
 	}
 }
 
+// refundRetry gives back the retry that was taken for the next attempt, if any, as none is made.
+func (c *call) refundRetry() {
+	c.handler.budget(c.service).Refund(c.retry)
+	c.retry = retrier.Decision{}
+}
+
 // join ends the attempts under way and waits until they have ended.
 func (c *call) join() {
 	c.cancel()
 	for n, _ := c.attempts.counts(); n > 0; n, _ = c.attempts.counts() {
 		c.next()
 	}
+	c.refundRetry()
 }
 
 // serve makes the attempt and ends its lease.
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -132,8 +132,11 @@
 	var h history
 	for another := true; ; {
 		if another {
-			if err := c.startAttemptInTime(); err != nil && c.isEndedBy(err, h.last) {
-				return
+			if err := c.startAttemptInTime(); err != nil {
+				c.refundRetry()
+				if c.isEndedBy(err, h.last) {
+					return
+				}
 			}
 		}
 		a, ended := c.next()
@@ -295,7 +298,8 @@
 	if !sent {
 		return retrier.Decision{Reason: "no-connection"}
 	}
-	return retrier.Decide(c.handler.budget(c.service), retrier.Attempt{
+	c.refundRetry()
+	c.retry = retrier.Decide(c.handler.budget(c.service), retrier.Attempt{
 		Outcome: v.outcome, Idempotent: !c.isAtMostOnce(),
 		// A resumable stream continues after the last event, so it may be retried
 		// though the caller has a part of it.
@@ -303,6 +307,7 @@
 		Remaining: time.Until(c.deadline), Tries: c.tries, MaxTries: c.match.Route.Attempts,
 		Unavailable: !available,
 	})
+	return c.retry
 }
 
 // handleAcquireError finishes a call for which the dispatcher gave no lease.
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -67,7 +67,11 @@
 func (b *Budget) Offer() {
 	b.rollWindow()
 	b.offered.Add(1)
-	add := int64(orDefault(b.Share, DefaultShare) * retryUnit)
+	b.save(int64(orDefault(b.Share, DefaultShare) * retryUnit))
+}
+
+// save adds to the saved retries, up to the burst.
+func (b *Budget) save(add int64) {
 	limit := int64(b.burst() * retryUnit)
 	for add > 0 {
 		old := b.saved.Load()
@@ -86,29 +90,59 @@
 
 // Spend takes one retry from the budget and reports whether there was one.
 func (b *Budget) Spend() bool {
+	_, ok := b.spend()
+	return ok
+}
+
+// savedRetry is the window of a retry that was taken from the saved ones.
+const savedRetry = -1
+
+// spend takes one retry and returns the window that allowed it, or savedRetry.
+func (b *Budget) spend() (window int64, ok bool) {
 	for {
 		old := b.saved.Load()
 		if old < retryUnit {
 			return b.spendIdle()
 		}
 		if b.saved.CompareAndSwap(old, old-retryUnit) {
-			return true
+			return savedRetry, true
+		}
+	}
+}
+
+// Refund gives back the retry that Decide took for d, if any. It must be called at most once
+// for a decision, and only if nothing was sent to an endpoint because of it. An idle retry
+// ends with its window.
+func (b *Budget) Refund(d Decision) {
+	if !d.Retry {
+		return
+	}
+	if d.window == savedRetry {
+		b.save(retryUnit)
+		return
+	}
+	b.rollWindow()
+	for b.window.Load() == d.window {
+		old := b.idleUsed.Load()
+		if old == 0 || b.idleUsed.CompareAndSwap(old, old-1) {
+			return
 		}
 	}
 }
 
 // spendIdle takes one of the retries that a window with few requests allows.
-func (b *Budget) spendIdle() bool {
+func (b *Budget) spendIdle() (window int64, ok bool) {
 	b.rollWindow()
+	window = b.window.Load()
 	idle, share := orDefault(b.Idle, DefaultIdle), orDefault(b.Share, DefaultShare)
 	if share < 0 || float64(max(b.offered.Load(), b.offeredBefore.Load()))*share >= idle {
-		return false
+		return 0, false
 	}
 	if float64(b.idleUsed.Add(1)) <= idle {
-		return true
+		return window, true
 	}
 	b.idleUsed.Add(-1)
-	return false
+	return 0, false
 }
 
 // rollWindow begins a new window if the current one has passed.
--- a/retrier/decide.go
+++ b/retrier/decide.go
@@ -33,6 +33,8 @@
 	Retry bool
 	// Reason is a kebab-case word for the log.
 	Reason string
+	// window is what Budget.spend returned.
+	window int64
 }
 
 // Decide reports whether a failed attempt may be retried, and why. It checks the
@@ -54,11 +56,13 @@
 		return Decision{Reason: "tries-used-up"}
 	case a.Unavailable:
 		return Decision{Reason: NoEndpoint}
-	case !b.Spend():
+	}
+	window, ok := b.spend()
+	switch {
+	case !ok:
 		return Decision{Reason: "budget-used-up"}
 	case a.Outcome == NotRun:
-		return Decision{Retry: true, Reason: "not-run"}
-	default:
-		return Decision{Retry: true, Reason: "idempotent"}
+		return Decision{Retry: true, Reason: "not-run", window: window}
 	}
+	return Decision{Retry: true, Reason: "idempotent", window: window}
 }
--- a/retrier/decide_test.go
+++ b/retrier/decide_test.go
@@ -97,6 +97,41 @@
 		})
 	})
 
+	// A retry that is given back must be there again, but not as a second one, nor in a window
+	// after the one that allowed it.
+	It("has as many retries after a refund as before the decision", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			now := time.Unix(1_000_000, 0)
+			offered := rapid.IntRange(0, 60).Draw(t, "offered")
+			refunds := rapid.IntRange(0, 9).Draw(t, "refunds")
+			later := rapid.Bool().Draw(t, "the refunds come in the next window")
+			count := func(refunds int) (n int) {
+				at := now
+				b := retrier.Budget{Burst: 4, Now: func() time.Time { return at }}
+				for range offered {
+					b.Offer()
+				}
+				var all []retrier.Decision
+				for range refunds {
+					all = append(all, retrier.Decide(&b, retrier.Attempt{Outcome: retrier.NotRun, Remaining: time.Second, Tries: 1}))
+				}
+				if later {
+					at = at.Add(10 * time.Second)
+				}
+				for _, d := range all {
+					b.Refund(d)
+				}
+				for b.Spend() {
+					n++
+				}
+				return n
+			}
+			if got, want := count(refunds), count(0); got != want {
+				t.Fatalf("%d retries after %d refunds, want %d", got, refunds, want)
+			}
+		})
+	})
+
 	// A budget that accumulates without a bound would allow a retry storm.
 	It("saves no more than the burst", func() {
 		b := retrier.Budget{Burst: 3}
