forwarder: count silent attempts before an end is decided on

Cause: take returned attempts that had ended before those whose silence was new. If one ended while another one had just fallen silent, no attempt was active, so another one was decided on, but the silent one wasn't counted yet: the tries were one short. The new attempt wasn't taken for the last one, and when the same happened to it, one attempt more than the route allows was made. That takes a route with three attempts or more, since the last one never counts as silent.

Change: take returns new silence first. An attempt that has ended isn't silent.

--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -54,30 +54,28 @@
 	}
 }
 
-// take returns an attempt that has ended, which it removes, or one whose endpoint has become
-// silent. While superseded attempts are still ending, it returns only these and an answer: the
-// decision on another attempt has to count them, and none of them is left to wait for after it.
+// take returns an attempt whose endpoint has become silent, or one that has ended, which it
+// removes. The silent ones come first, as the decision after an end has to count them. While
+// superseded attempts are still ending, it returns only these and an answer: the decision on
+// another attempt has to count them too, and none of them is left to wait for after it.
 func (s *attempts) take() (a *attempt, ended bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seen = s.claims
 	isSuperseded := func(a *attempt) bool { return a.state.superseded }
 	ending := slices.ContainsFunc(s.running, isSuperseded)
+	for _, a := range s.running {
+		if st := &a.state; !ending && st.silent && !st.reported && !st.ended {
+			st.reported = true
+			return a, false
+		}
+	}
 	for i, a := range s.running {
 		if a.state.ended && (!ending || isSuperseded(a) || a.state.result.isAnswer()) {
 			s.running = slices.Delete(s.running, i, i+1)
 			return a, true
 		}
 	}
-	if ending {
-		return nil, false
-	}
-	for _, a := range s.running {
-		if a.state.silent && !a.state.reported {
-			a.state.reported = true
-			return a, false
-		}
-	}
 	return nil, false
 }
 
