direct: pauses don't prolong the wait for an endpoint list

Found in review of the wait after short pauses. After a long pause the wait of a second began only when the one for the long pause was over, and pauses weren't counted, but the queue in which a stream waits to be resumed goes by wall time (1.5 s). With no list to read, a pause of 1.1 s and one of 350 ms held requests for 1.6 to 2.2 s, and a stream whose endpoint had broken off ended with BROKEN OFF beside a sound endpoint (shown by the reviewer with a real handler).

There is one wait for both kinds of pause, and it is over after 1 s of running time or 1.3 s in all. A long pause begins a new one, as before.

--- a/internal/direct/list_wait.go
+++ b/internal/direct/list_wait.go
@@ -14,6 +14,9 @@
 	// maxListWait is how long requests wait for a new endpoint list after a pause of the
 	// process.
 	maxListWait = time.Second
+	// maxListHold bounds the same with the pauses in it. It is below the time for which a stream
+	// waits for an endpoint at which it is resumed.
+	maxListHold = 1300 * time.Millisecond
 	// listAgeShare is the age of the endpoint list up to which it is used after a shorter
 	// pause, as a part of the time after which a draining endpoint must get no more
 	// requests. The rest is for the way of a request to its endpoint.
@@ -29,15 +32,17 @@
 	paused time.Duration
 }
 
-// isOver reports whether requests have waited for maxListWait, without pauses of the process,
-// since the list was confirmed at the given time. The first call for a list begins the wait.
+// isOver reports whether requests have waited long enough for a list that replaces the one that
+// was confirmed at the given time. A further wait begins after a long pause, or for a list that
+// was confirmed after the last wait began.
 func (w *listWait) isOver(confirmed time.Time, p timekeeper.Pauses) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.began.After(confirmed) {
+	if !w.began.After(confirmed) || p.LongEnd.After(w.began) {
 		w.began, w.paused = p.Now, p.Total
 	}
-	return p.Now.Sub(w.began)-(p.Total-w.paused) > maxListWait
+	held := p.Now.Sub(w.began)
+	return held > maxListHold || held-(p.Total-w.paused) > maxListWait
 }
 
 // isCurrent reports whether requests may go by the endpoint list in use. In a pause of the
@@ -53,7 +58,7 @@
 		return true
 	}
 	isReadSince := p.Now.Sub(p.LongEnd) > maxListWait || confirmed.After(p.LongEnd)
-	if isReadSince && (p.Now.Sub(confirmed) <= g.maxListAge() || g.listWait.isOver(confirmed, p)) {
+	if isReadSince && p.Now.Sub(confirmed) <= g.maxListAge() || g.listWait.isOver(confirmed, p) {
 		return true
 	}
 	g.follower.listOutdated()
