direct: an endpoint list that was young since the last wait is awaited again

Found in review. The date of a list is that of the request, or earlier if a reader of the failure domain passed it on, so a list that ends a wait is often dated before the wait began. Such a list counted as awaited: when it had become old, requests went by it at the next short pause, whatever its age.

A wait now begins for each newer list that was young after the last wait began. Lists that are old when they come, as from peers without the store, begin none.

TestListReadInWaitGetsOld said before: "a list of 4.9 s is current after a pause".

--- a/internal/direct/list_wait.go
+++ b/internal/direct/list_wait.go
@@ -30,16 +30,19 @@
 	// began is when the wait began, and paused the length of all pauses before it.
 	began  time.Time
 	paused time.Duration
+	// confirmed is the time of the list that was too old then.
+	confirmed time.Time
 }
 
 // isOver reports whether requests have waited long enough for a list that replaces the one that
-// was confirmed at the given time. A further wait begins after a long pause, or for a list that
-// was confirmed after the last wait began.
-func (w *listWait) isOver(confirmed time.Time, p timekeeper.Pauses) bool {
+// was confirmed at the given time. A further wait begins after a long pause, or if the list was
+// younger than maxAge after the last wait began.
+func (w *listWait) isOver(confirmed time.Time, maxAge time.Duration, p timekeeper.Pauses) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.began.After(confirmed) || p.LongEnd.After(w.began) {
-		w.began, w.paused = p.Now, p.Total
+	isNewer := confirmed.After(w.confirmed) && confirmed.Add(maxAge).After(w.began)
+	if isNewer || p.LongEnd.After(w.began) {
+		w.began, w.paused, w.confirmed = p.Now, p.Total, confirmed
 	}
 	held := p.Now.Sub(w.began)
 	return held > maxListHold || held-(p.Total-w.paused) > maxListWait
@@ -58,7 +61,7 @@
 		return true
 	}
 	isReadSince := p.Now.Sub(p.LongEnd) > maxListWait || confirmed.After(p.LongEnd)
-	if isReadSince && p.Now.Sub(confirmed) <= g.maxListAge() || g.listWait.isOver(confirmed, p) {
+	if isReadSince && p.Now.Sub(confirmed) <= g.maxListAge() || g.listWait.isOver(confirmed, g.maxListAge(), p) {
 		return true
 	}
 	g.follower.listOutdated()
--- a/internal/direct/list_wait_test.go
+++ b/internal/direct/list_wait_test.go
@@ -143,3 +143,24 @@
 		}
 	}
 }
+
+// A list that was read in a wait, but confirmed before it, must not count as awaited once it is
+// old: requests went by a list of any age at the next pause.
+func TestListReadInWaitGetsOld(t *testing.T) {
+	c := newListClock()
+	c.read(3 * time.Second)
+	c.pause(400 * time.Millisecond)
+	if c.isCurrent() {
+		t.Error("a list of 3.4 s is current after a pause")
+	}
+	c.run(50 * time.Millisecond)
+	c.read(500 * time.Millisecond)
+	if !c.isCurrent() {
+		t.Error("a list of 0.5 s isn't current")
+	}
+	c.run(4 * time.Second)
+	c.pause(400 * time.Millisecond)
+	if c.isCurrent() {
+		t.Error("a list of 4.9 s is current after a pause")
+	}
+}
