--- a/resolver/configuration.go
+++ b/resolver/configuration.go
@@ -1,6 +1,7 @@
 package resolver
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"strings"
@@ -156,6 +157,9 @@
 		if t.Service == "" || t.Weight < 0 {
 			return errors.Newf("field targets: service %q with weight %d", t.Service, t.Weight)
 		}
+		if t.Weight > math.MaxInt-total {
+			return errors.New("field targets: the sum of the weights overflows")
+		}
 		total += t.Weight
 	}
 	switch {
