dispatcher: a silence before Done(Served) is no failure after it

Cause: the call records an endpoint's silence with Lease.Silent after it has taken it from the list. If the endpoint responds meanwhile, Done(Served) may come first, for example behind a busy lock of the dispatcher; the failure that Silent then counted made the endpoint suspect for 0.3 s after it had served.

Change: Silent does nothing after Done(Served). After any other outcome it counts as before, since an attempt that was given up shows nothing good of its endpoint.

TestSilentAfterServed: "1 endpoints are avoided, want none" before.

--- a/dispatcher/lease.go
+++ b/dispatcher/lease.go
@@ -27,6 +27,8 @@
 	sentAt  time.Time
 	// grantedAt is the time of sentAt on the clock of package timekeeper.
 	grantedAt time.Time
+	// served reports whether Done(Served) was called. The lock of d guards it.
+	served bool
 }
 
 // maxLeaseAge is the age up to which a request may be sent on a lease. It exceeds the time
@@ -111,11 +113,13 @@
 }
 
 // Silent records that the endpoint is overdue with its response, so that other requests
-// avoid it. The lease goes on.
+// avoid it. The lease goes on. After Done(Served) it does nothing.
 func (l *Lease) Silent() {
 	l.d.mu.Lock()
 	defer l.d.mu.Unlock()
-	l.node.recordFailure(l.d.now())
+	if !l.served {
+		l.node.recordFailure(l.d.now())
+	}
 }
 
 func (l *Lease) finishPrefill() {
@@ -138,6 +142,7 @@
 	l.finishPrefill()
 	switch o {
 	case Served:
+		l.served = true
 		n.recordSuccess()
 	case Failed:
 		n.recordFailure(now)
--- a/dispatcher/lease_test.go
+++ b/dispatcher/lease_test.go
@@ -29,3 +29,16 @@
 		t.Error("8.05 s after version 2 was named, where 8 s are allowed, a request may still be sent on a lease for version 1")
 	}
 }
+
+// The silence of an endpoint that has served since must not count as a failure.
+func TestSilentAfterServed(t *testing.T) {
+	w := newHarness()
+	w.run("endpoint e1 a 1")
+	w.run("send 1")
+	l := w.leases["e1"][0]
+	w.run("done e1 served")
+	l.Silent()
+	if n := w.d.Status()[0].Avoided; n != 0 {
+		t.Errorf("%d endpoints are avoided, want none", n)
+	}
+}
