forwarder: the caller's time is no silence of the endpoint

Cause: the time at which the next event is due was set before the last one was flushed to the caller, and nothing is read during the flush. If a caller took 1.2 to 1.5 s to accept an event, the timer went off before what the endpoint had sent meanwhile was read, so it counted as silent, another one was asked as well, and a try and a retry were used. Beyond 1.5 s the guard for a paused process covered it.

Change: the time of each write and flush to the caller is added to the time at which the next event is due. Comments and parts of events extend it by nothing else, as before.

Test: TestSlowCallerIsNotSilence; the caller takes 1.35 s for an event, the endpoint sends the next one, larger than the buffers, after 0.9 s.

--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -44,6 +44,7 @@
 	fields  eventFields
 	// due is the time at which the next event with data is due. Parts of an event and
 	// comments don't extend it, or a stalled endpoint could hold a stream until its deadline.
+	// The time in which the caller accepts what it is sent does, as nothing is read then.
 	due time.Time
 	// flushErr is the error of a write to the caller.
 	flushErr error
@@ -52,12 +53,20 @@
 // beforeRead sends the caller what it has not yet got, before more is waited for.
 func (e *eventCopier) beforeRead() error {
 	if e.attempt.isWriter() {
-		e.flushErr = e.attempt.call.flush()
+		e.flushErr = e.waitForCaller(e.attempt.call.flush)
 	}
 	e.attempt.expect(e.due)
 	return e.flushErr
 }
 
+// waitForCaller calls write, whose time isn't the endpoint's.
+func (e *eventCopier) waitForCaller(write func() error) error {
+	begun := time.Now()
+	err := write()
+	e.due = e.due.Add(time.Since(begun))
+	return err
+}
+
 // copyLine reads a line and writes the event if this is its end.
 func (e *eventCopier) copyLine() (v attemptResult, ended bool) {
 	a := e.attempt
@@ -106,7 +115,7 @@
 	case !e.fields.hasData && !a.claimAlone():
 		return v, false
 	}
-	if err := a.writeEvent(e.event.Bytes()); err != nil {
+	if err := e.waitForCaller(func() error { return a.writeEvent(e.event.Bytes()) }); err != nil {
 		return a.lostCaller(err), true
 	}
 	a.setProgress(e.fields.id)
--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -193,8 +193,7 @@
 		return
 	}
 	if time.Since(st.due) > maxTimerDelay {
-		// The process was paused, or has waited for the caller. What has arrived
-		// meanwhile is read first.
+		// The process was paused. What has arrived meanwhile is read first.
 		st.due = time.Now().Add(maxTimerDelay)
 		st.askAfter = st.due
 		a.silence.Reset(maxTimerDelay)
--- a/forwarder/slow_caller_test.go
+++ b/forwarder/slow_caller_test.go
@@ -4,10 +4,14 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
+	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
 )
 
 // A caller that doesn't read must not hold a slot of an endpoint, a connection and a
@@ -74,3 +78,46 @@
 	}
 	return c
 }
+
+// slowFlush is the response to a caller that takes the given time to accept the first part.
+type slowFlush struct {
+	http.ResponseWriter
+	delay time.Duration
+}
+
+func (w *slowFlush) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// FlushError implements the interface that http.ResponseController looks for.
+func (w *slowFlush) FlushError() error {
+	time.Sleep(w.delay)
+	w.delay = 0
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// An endpoint that waits for a slow caller isn't silent: it was avoided, and a second one was asked
+// as well. The event that it sends meanwhile exceeds the buffers of the connection.
+func TestSlowCallerIsNotSilence(t *testing.T) {
+	f, all := newHandlerWithTimeout(t, 2, 4*time.Second)
+	tries := 0
+	f.Observe = func(r forwarder.Result) { tries = r.Tries }
+	sc := &script{steps: []string{"hold"}}
+	for _, b := range all {
+		b.script = sc
+		b.onHold = func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signature: s\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: e1\n\n")
+			time.Sleep(900 * time.Millisecond)
+			_, _ = io.WriteString(c, "id: 2\ndata: "+strings.Repeat("x", 900<<10)+"\n\n")
+		}
+	}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		f.ServeHTTP(&slowFlush{w, 1350 * time.Millisecond}, q)
+	}))
+	got := sendRequest(s.URL, "resume")
+	s.Close()
+	if len(got) < 900<<10 || strings.Contains(got, "BROKEN OFF") {
+		t.Errorf("the caller got %.100q", got)
+	}
+	if got := summarizeRequests(all); got != "  sent 1 ran 1\n" || tries != 1 {
+		t.Errorf("%d tries, and the endpoints got %q, want one request", tries, got)
+	}
+}
