direct: test reads all reports before it counts them

TestReportTargets gave each socket 1 ms to be read in. A process that isn't run for that time between the deadline and the read reads nothing, as the deadline is looked at before the data: with 2 ms there (a trial) it said "map[0:20] gateways by number of reports" for all three counts. A report too many or too few is still seen: with reports to all, and with reports to the sharing gateways alone, it fails.

--- a/internal/direct/report_test.go
+++ b/internal/direct/report_test.go
@@ -15,6 +15,24 @@
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 )
 
+// lastDatagram ends the datagrams that countReports counts.
+const lastDatagram = "last"
+
+// countReports reads up to lastDatagram and returns the number of datagrams before it.
+func countReports(t *testing.T, c *net.UDPConn) int {
+	t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	for n, b := 0, make([]byte, maxDatagramBytes); ; n++ {
+		k, _, err := c.ReadFromUDPAddrPort(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if string(b[:k]) == lastDatagram {
+			return n
+		}
+	}
+}
+
 // Reports of every agent to every gateway five times a second were 0.5 GB a minute between
 // regions. The gateways that share the engine must get each one, the others one of three,
 // and all of them a change at once.
@@ -56,13 +74,11 @@
 		time.Sleep(50 * time.Millisecond)
 		got := make(map[int]int)
 		for _, c := range sockets {
-			n := 0
-			for _ = c.SetReadDeadline(time.Now().Add(time.Millisecond)); ; n++ {
-				if _, _, err := c.ReadFromUDPAddrPort(make([]byte, maxDatagramBytes)); err != nil {
-					break
-				}
+			// What was sent before this datagram has arrived when it has.
+			if _, err := out.WriteToUDPAddrPort([]byte(lastDatagram), c.LocalAddr().(*net.UDPAddr).AddrPort()); err != nil {
+				t.Fatal(err)
 			}
-			got[n]++
+			got[countReports(t, c)]++
 		}
 		return got
 	}
