listener: tests of a drain begin it when the connections are accepted

drain waited 100 ms for the server to accept three connections and closed the listener then; one that isn't accepted yet is reset by the kernel. With 60 ms in each Accept (a trial) TestDrainAnswersLateRequest failed: "connection reset by peer". The test now waits for the state of each connection that Drainer notes, and then the 100 ms as before. It passes with the 60 ms.

--- a/internal/listener/drainer_test.go
+++ b/internal/listener/drainer_test.go
@@ -22,6 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	accepted := make(chan struct{}, len(parts))
 	d := &listener.Drainer{Listener: l, Server: &http.Server{
 		ReadHeaderTimeout: 5 * time.Second,
 		Handler: http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
@@ -29,6 +30,11 @@
 				time.Sleep(slow)
 			}
 		}),
+		ConnState: func(_ net.Conn, s http.ConnState) {
+			if s == http.StateNew {
+				accepted <- struct{}{}
+			}
+		},
 	}}
 	go func() { _ = d.Serve() }()
 	t.Cleanup(func() { _ = d.Server.Close() })
@@ -42,6 +48,13 @@
 		_, _ = io.WriteString(c, p)
 		conns = append(conns, c)
 	}
+	for range parts {
+		select {
+		case <-accepted:
+		case <-time.After(10 * time.Second):
+			t.Fatal("a connection isn't accepted within 10 s")
+		}
+	}
 	time.Sleep(100 * time.Millisecond)
 	took := make(chan time.Duration, 1)
 	began := time.Now()
