--- a/forwarder/handler_test.go
+++ b/forwarder/handler_test.go
@@ -288,18 +288,26 @@
 	case "silent":
 		time.Sleep(3 * time.Second)
 		return false
-	case "trickle", "comments":
-		part := map[string]string{"trickle": "retry: 9\n", "comments": ": alive\n\n"}[name]
-		for range 10 {
-			time.Sleep(350 * time.Millisecond)
-			chunk(part)
-		}
-		return false
+	case "trickle":
+		return b.repeat(chunk, "retry: 9\n", 350*time.Millisecond)
+	case "comments":
+		// The time-out for the next event, 1.2 s, is in the middle between the first ones and
+		// the second ones.
+		return b.repeat(chunk, strings.Repeat(": alive\n\n", 3), 800*time.Millisecond)
 	}
 	_, _ = io.WriteString(c, "0\r\n\r\n")
 	return true
 }
 
+// repeat writes a part of a stream ten times and breaks off.
+func (b *fakeEndpoint) repeat(chunk func(string), part string, every time.Duration) bool {
+	for range 10 {
+		time.Sleep(every)
+		chunk(part)
+	}
+	return false
+}
+
 // routeTimeout is the timeout of the routes of most tests.
 const routeTimeout = 2 * time.Second
 
