gateway: calls at the end of a planned stop get an answer

The end of a gateway's planned stop closed the connections of the calls that still ran, or that still waited, without an answer. The calls are now cut listener.ExitMargin before the time is up, which leaves time for the answers, as on the direct path (stopper.Stopper, listener.DrainAll): 503 with Retry-After if the call was surely not run, 504 if it may have run, and the error event for a stream that has begun.

No further attempt is made for a call that was cut, and an endpoint isn't blamed for it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -161,7 +161,8 @@
 	case sentNothing:
 		a.outcome, a.detail = retrier.NotRun, "the endpoint can't be reached"
 	case ctx.Err() != nil:
-		a.reason, a.detail = "deadline", "the deadline passed while the endpoint worked"
+		a.reason, a.detail = c.endReason()
+		a.detail += " while the endpoint worked"
 	}
 	if ctx.Err() == nil && !p.remote {
 		g.table.Avoid(p.name, time.Now().Add(avoidDuration))
@@ -223,7 +224,8 @@
 	if err != nil {
 		n := attemptResult{outcome: retrier.Unknown, reason: "cut", detail: "the answer was cut"}
 		if a.ctx.Err() != nil {
-			n.reason, n.detail = "deadline", "the deadline passed during the answer"
+			n.reason, n.detail = a.call.endReason()
+			n.detail += " during the answer"
 		}
 		return n
 	}
--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -70,8 +70,8 @@
 
 // serve answers one attempt by its script line: whole [VERSION], refuse REASON,
 // empty STATUS, fail, unknown, drop, cut, bare, invalid STATUS, or stream VERSION FRAMES [cut] or
-// [quiet MS FRAMES] or [gone MS FRAMES]. "foreign" before it answers another request, "old" leaves the
-// request id out, "quiet MS" is silent before it answers. "raw" closes the connection after
+// [quiet MS FRAMES] or [gone MS FRAMES] or [slow MS FRAMES]. "foreign" before it answers another request, "old" leaves the
+// request id out, "quiet MS" is silent before it answers, and "slow MS" the same while the agent reports it ready. "raw" closes the connection after
 // the bytes, in which "|" is the end of a line and "@" the lines of an agent's answer.
 func (e *scriptedEndpoints) serve(name string, w http.ResponseWriter, q *http.Request) {
 	_, _ = io.Copy(io.Discard, q.Body)
@@ -90,6 +90,9 @@
 	case "quiet", "gone":
 		e.quiet(q, name, s[1], s[0] == "gone")
 		s = s[2:]
+	case "slow":
+		wait(q, s[1])
+		s = s[2:]
 	}
 	switch s[0] {
 	case "empty":
@@ -128,6 +131,10 @@
 			e.quiet(q, name, s[4], s[3] == "gone")
 			to = writeStream(w, q, to, s[5])
 		}
+		if s[3] == "slow" {
+			wait(q, s[4])
+			to = writeStream(w, q, to, s[5])
+		}
 		if s[3] == "cut" {
 			panic(http.ErrAbortHandler)
 		}
@@ -151,17 +158,22 @@
 // quiet is an endpoint that falls silent and then goes on. Its agent reports it as a lost
 // engine or, if gone is set, leaves for another gateway meanwhile.
 func (e *scriptedEndpoints) quiet(q *http.Request, name, ms string, gone bool) {
-	n, _ := strconv.Atoi(ms)
 	if gone {
 		e.detach(name)
 	} else {
 		e.report(name, router.Empty)
 	}
+	wait(q, ms)
+	e.report(name, router.Ready)
+}
+
+// wait waits for the given number of milliseconds, unless the gateway ends the attempt.
+func wait(q *http.Request, ms string) {
+	n, _ := strconv.Atoi(ms)
 	select {
 	case <-time.After(time.Duration(n) * time.Millisecond):
 	case <-q.Context().Done():
 	}
-	e.report(name, router.Ready)
 }
 
 // writeStream writes the frames from the given number, or from the one at which the
@@ -185,6 +197,13 @@
 // newTestGateway returns a gateway that knows two endpoints for a model and for
 // a service.
 func newTestGateway(t *testing.T, e *scriptedEndpoints) *Gateway {
+	t.Helper()
+	g, _ := newTestServers(t, e)
+	return g
+}
+
+// newTestServers returns the gateway with its servers, which don't serve yet.
+func newTestServers(t *testing.T, e *scriptedEndpoints) (*Gateway, *servers) {
 	t.Helper()
 	m, err := meter.New("gateway-test")
 	check(t, err)
@@ -199,7 +218,7 @@
 	for _, v := range []net.Listener{l.callers, l.operators, l.relay, l.peers} {
 		t.Cleanup(func() { _ = v.Close() })
 	}
-	_, err = g.prepare(l)
+	all, err := g.prepare(l)
 	check(t, err)
 	d, err := recorder.ParseDeclaration([]byte(strings.ReplaceAll(declaration, "KEY", recorder.DigestOf([]byte(testKey)).String())))
 	check(t, err)
@@ -223,7 +242,7 @@
 		g.table.Remove(endpointName(name, "model/m"))
 		g.table.Remove(endpointName(name, "service/booking"))
 	}
-	return g
+	return g, all
 }
 
 // addEndpoints updates the status of the endpoints of a stand-in for the model and the service.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -155,6 +155,9 @@
 // another endpoint of the same version, so a partly sent response does not rule
 // out a retry.
 func (c *call) decideRetry(a attemptResult) retrier.Decision {
+	if c.isStopped() {
+		return retrier.Decision{Reason: "stopped"}
+	}
 	return retrier.Decide(&c.gateway.budget, retrier.Attempt{
 		Outcome: a.outcome, Idempotent: c.idempotent, Remaining: time.Until(c.deadline), Tries: c.tries,
 	})
@@ -165,6 +168,9 @@
 func (c *call) pick(ctx context.Context) (target, error) {
 	begun := time.Now()
 	for wait := pickBackoff; ; wait *= 2 {
+		if c.isStopped() {
+			return target{}, errStopping
+		}
 		p, err := c.pickOnce()
 		if err == nil || classifier.Of(err) != classifier.Exhausted || time.Since(begun)+wait > pickTimeout {
 			return p, err
@@ -239,6 +245,10 @@
 // giveUp sends the final error response. Its outcome is "not-run" only if no
 // attempt may have run.
 func (c *call) giveUp(last attemptResult, err error) {
+	if c.isStopped() && !c.ran {
+		c.refuse(stopping, stopProblem())
+		return
+	}
 	p := problem.New(http.StatusServiceUnavailable, header.NotRun, last.detail)
 	p.RetryAfter = last.retryAfter
 	switch {
@@ -252,7 +262,7 @@
 			p.Detail += "; " + last.detail
 		}
 	}
-	if !time.Now().Before(c.deadline) && c.ran {
+	if c.ran && (!time.Now().Before(c.deadline) || c.isStopped()) {
 		p.Status, p.Title = http.StatusGatewayTimeout, http.StatusText(http.StatusGatewayTimeout)
 	}
 	reason := last.reason
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -15,7 +15,6 @@
 	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/problem"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
-	"github.com/eelgrassdrift/eelgrassdrift/internal/sender"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/registrar"
 	"github.com/eelgrassdrift/eelgrassdrift/router"
@@ -50,21 +49,23 @@
 // readyz answers the load balancer's readiness check with 200 or 503.
 func (g *Gateway) readyz(w http.ResponseWriter, _ *http.Request) {
 	noEndpoints := len(g.table.All()) == 0 && time.Since(g.started) < attachTimeout
-	if g.stopping.Load() || !g.replica.CaughtUp() || noEndpoints {
+	if g.stopper.IsStopping() || !g.replica.CaughtUp() || noEndpoints {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
 // serveCaller authenticates, admits and serves one request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, q *http.Request) {
-	c := &call{gateway: g, w: &sender.Writer{ResponseWriter: w}, q: q, id: uuid.NewString(), begun: time.Now()}
+	w, q, done := g.track(w, q)
+	defer done()
+	c := &call{gateway: g, w: w, q: q, id: uuid.NewString(), begun: time.Now()}
 	c.callerID = q.Header.Get(header.CallerID)
 	if c.callerID == "" || len(c.callerID) > maxCallerID {
 		c.callerID = c.id
 	}
 	w.Header().Set(header.CallerID, c.callerID)
 	w.Header().Set(header.RequestID, c.id)
-	if g.stopping.Load() {
+	if g.stopper.IsStopping() {
 		w.Header().Set("Connection", "close")
 	}
 	if p := g.identify(c); p != nil {
@@ -72,29 +73,25 @@
 		return
 	}
 	if !c.endsInTime() {
-		p := problem.New(http.StatusServiceUnavailable, header.NotRun, "this gateway stops before the call can end; another one takes it")
-		p.RetryAfter = stopRetryAfter
-		c.refuse("stopping", p)
+		c.refuse(stopping, stopProblem())
 		return
 	}
 	g.meter.Offer(c.account.Name)
 	t, err := g.admission(c.serves).Admit(q.Context(), admitter.Request{Account: &c.account.ClientAccount, Deadline: c.deadline})
 	if err != nil {
-		c.refuse("admission", admissionProblem(err))
+		c.refuseAdmission(err)
 		return
 	}
 	defer t.Done()
 	c.serve()
 }
 
-// stopRetryAfter is the Retry-After time of a call that is refused because the gateway stops.
-const stopRetryAfter = time.Second
-
-// endsInTime reports whether the call surely ends before a planned stop does, if it must not be
-// repeated.
-func (c *call) endsInTime() bool {
-	cut := c.gateway.cutAt.Load()
-	return cut == nil || c.idempotent || c.key != "" || !c.deadline.After(*cut)
+func (c *call) refuseAdmission(err error) {
+	if c.isStopped() {
+		c.refuse(stopping, stopProblem())
+		return
+	}
+	c.refuse("admission", admissionProblem(err))
 }
 
 func admissionProblem(err error) problem.Problem {
@@ -125,6 +122,10 @@
 		return refuse(http.StatusUnauthorized, "a valid key is needed in the header Authorization")
 	}
 	b, err := receiver.Body(c.w, c.q, maxBody, c.begun.Add(c.gateway.RequestTimeout))
+	if errors.Is(err, os.ErrDeadlineExceeded) && g.stopper.IsCut() {
+		p := stopProblem()
+		return &p
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return refuse(http.StatusRequestTimeout, "the body is not complete after "+c.gateway.RequestTimeout.String())
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/internal/listener"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/settings"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/stopper"
 	"github.com/eelgrassdrift/eelgrassdrift/operator"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/relayer"
@@ -85,10 +86,8 @@
 	client         *http.Client
 	dialer         net.Dialer
 	counters       counters
-	stopping       atomic.Bool
-	// cutAt is the time at which a planned stop ends; nil unless the gateway stops.
-	cutAt atomic.Pointer[time.Time]
-	turns atomic.Uint64
+	stopper        stopper.Stopper
+	turns          atomic.Uint64
 	// foreignEndpoints is the number of endpoints in the table that belong to
 	// other failure domains. Their agents attach here after losing their own
 	// gateways.
@@ -138,20 +137,14 @@
 }
 
 // stop makes a planned stop: it reports not ready, waits for the load balancer,
-// then finishes the requests in flight.
+// finishes the requests in flight, and cuts those that take too long.
 func (g *Gateway) stop(s *servers) {
-	cut := time.Now().Add(g.BalancerWait + g.StopTimeout)
-	g.cutAt.Store(&cut)
-	g.stopping.Store(true)
+	cut := time.Now().Add(g.BalancerWait + g.StopTimeout - listener.ExitMargin)
+	g.stopper.Begin(cut)
 	g.Log.Info().Dur("balancer-wait-ms", g.BalancerWait).Msg("planned stop")
 	time.Sleep(g.BalancerWait)
-	c, cancel := context.WithTimeout(context.Background(), g.StopTimeout)
-	defer cancel()
-	var t errgroup.Group
-	t.Go(func() error { return s.callers.Drain(c) })
-	t.Go(func() error { return s.peers.Drain(c) })
-	if err := t.Wait(); err != nil {
-		g.Log.Warn().Err(err).Msg("planned stop timed out")
+	if n, err := listener.DrainAll([]*listener.Drainer{s.callers, s.peers}, cut, g.stopper.Cut); err != nil {
+		g.Log.Warn().Int("cut", n).Err(err).Msg("planned stop timed out")
 	}
 	s.operators.Stop()
 	s.relay.Stop()
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -11,7 +11,6 @@
 	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/problem"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
-	"github.com/eelgrassdrift/eelgrassdrift/internal/sender"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/registrar"
 	"github.com/eelgrassdrift/eelgrassdrift/retrier"
@@ -30,7 +29,9 @@
 // picks endpoints of its own failure domain only, so that a request is forwarded
 // between failure domains at most once.
 func (g *Gateway) servePeer(w http.ResponseWriter, q *http.Request) {
-	c := &call{gateway: g, w: &sender.Writer{ResponseWriter: w}, q: q, id: q.Header.Get(header.RequestID), callerID: q.Header.Get(header.CallerID), begun: time.Now()}
+	w, q, done := g.track(w, q)
+	defer done()
+	c := &call{gateway: g, w: w, q: q, id: q.Header.Get(header.RequestID), callerID: q.Header.Get(header.CallerID), begun: time.Now()}
 	w.Header().Set(header.RequestID, c.id)
 	c.account = &registrar.ClientAccount{}
 	c.account.Name = recorder.Name(q.Header.Get(header.Account))
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -25,9 +25,7 @@
 	} {
 		e := &scriptedEndpoints{}
 		g := newTestGateway(t, e)
-		cut := time.Now().Add(c.left)
-		g.stopping.Store(true)
-		g.cutAt.Store(&cut)
+		g.stopper.Begin(time.Now().Add(c.left))
 		s := httptest.NewServer(g.callerRoutes())
 		defer s.Close()
 		q, err := http.NewRequest(c.method, s.URL+"/booking/deposits", strings.NewReader("{}"))
