gateway: late calls in a planned stop that may be repeated

A gateway that stops passed on each late call that may be repeated, or that has a key, whatever time it needed, and cut it at the end; calls from gateways of other failure domains weren't looked at at all. Each is now refused (503 not run, Retry-After) if it may not end: the rule of the direct path, by the time that the calls to the same model or service usually take (stopper.EndsInTime). Nor is another attempt made that may not end. pickOnce holds the rule, as each attempt begins there.

TestStopRefusesLateCall had two lines that asked for the fault: a GET and a call with a key were to be passed on with 1 s left of 4 s, without any call whose duration was known. They are replaced: with calls that took no time they must be served still, without any, or with calls of 1.2 s, refused. It also counts what ran and has lines for models and for calls of other gateways.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -168,9 +168,6 @@
 func (c *call) pick(ctx context.Context) (target, error) {
 	begun := time.Now()
 	for wait := pickBackoff; ; wait *= 2 {
-		if c.isStopped() {
-			return target{}, errStopping
-		}
 		p, err := c.pickOnce()
 		if err == nil || classifier.Of(err) != classifier.Exhausted || time.Since(begun)+wait > pickTimeout {
 			return p, err
@@ -184,6 +181,9 @@
 }
 
 func (c *call) pickOnce() (target, error) {
+	if c.isStopped() || !c.endsInTime() {
+		return target{}, errStopping
+	}
 	g := c.gateway
 	s := g.replica.Current()
 	c.mu.Lock()
@@ -245,7 +245,7 @@
 // giveUp sends the final error response. Its outcome is "not-run" only if no
 // attempt may have run.
 func (c *call) giveUp(last attemptResult, err error) {
-	if c.isStopped() && !c.ran {
+	if !c.ran && (c.isStopped() || errors.Is(err, errStopping)) {
 		c.refuse(stopping, stopProblem())
 		return
 	}
@@ -262,7 +262,11 @@
 			p.Detail += "; " + last.detail
 		}
 	}
-	if c.ran && (!time.Now().Before(c.deadline) || c.isStopped()) {
+	late := !time.Now().Before(c.deadline)
+	if c.ran && late {
+		c.noteDuration()
+	}
+	if c.ran && (late || c.isStopped()) {
 		p.Status, p.Title = http.StatusGatewayTimeout, http.StatusText(http.StatusGatewayTimeout)
 	}
 	reason := last.reason
@@ -295,4 +299,7 @@
 	g.Log.Info().Str("request-id", c.id).Str("serves", c.serves).Str("endpoint", string(a.target.name)).Str("version", string(c.version)).
 		Int("status", status).Int("tries", a.number).Dur("took-ms", time.Since(c.begun)).Msg("request completed")
 	g.counters.request(c.q.Context(), c.serves, header.Run, time.Since(c.begun))
+	if status < http.StatusBadRequest {
+		c.noteDuration()
+	}
 }
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -118,6 +118,9 @@
 		return true
 	}
 	copyResponse(c.w, r)
+	if r.Header.Get(header.Outcome) == header.Run && r.StatusCode < http.StatusBadRequest && ctx.Err() == nil {
+		c.noteDuration()
+	}
 	return false
 }
 
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -22,7 +22,7 @@
 	stopRetryAfter = time.Second
 )
 
-// errStopping ends the search for an endpoint.
+// errStopping is the error of pickOnce for a call that may not end before the gateway does.
 var errStopping = &router.Error{Op: "pick endpoint", Kind: classifier.Unavailable, Err: errors.New("this gateway stops before the call can end")}
 
 // stopProblem is the answer to a call that was not run because the gateway stops.
@@ -42,14 +42,24 @@
 	}
 }
 
-// endsInTime reports whether the call surely ends before a planned stop does, if it must not be
-// repeated.
+// endsInTime reports whether the call ends before a planned stop cuts it, if it is sent now.
 func (c *call) endsInTime() bool {
-	return c.idempotent || c.key != "" || c.gateway.stopper.EndsInTime(stopper.Request{
-		Name: c.serves, Begun: c.begun, Deadline: c.deadline, AtMostOnce: true,
+	return c.gateway.stopper.EndsInTime(stopper.Request{
+		Name: c.serves, Begun: c.begun, Deadline: c.deadline, AtMostOnce: c.isAtMostOnce(), Started: c.hasStarted(),
 	})
 }
 
+// isAtMostOnce reports whether the call must not be repeated.
+func (c *call) isAtMostOnce() bool { return !c.idempotent && c.key == "" }
+
+// noteDuration adds the call to those by which a planned stop knows how long they usually take.
+// It was served or took all the time that it had.
+func (c *call) noteDuration() {
+	if !c.isAtMostOnce() {
+		c.gateway.stopper.NoteDuration(c.serves, time.Since(c.begun))
+	}
+}
+
 // isStopped reports whether the end of a planned stop has cut the call.
 func (c *call) isStopped() bool { return c.q.Context().Err() != nil && c.gateway.stopper.IsCut() }
 
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -1,50 +1,104 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
+	"github.com/eelgrassdrift/eelgrassdrift/router"
 )
 
-// A call that must not be repeated and comes so late in a planned stop that it may not end must
-// be refused before it runs; it was passed on and cut. What ends in time is served.
+// lateAnswer is what a caller needs of the answer to a late request.
+type lateAnswer struct {
+	status              int
+	close               bool
+	outcome, retryAfter string
+}
+
+// sendLate sends a request to a gateway that may stop, and returns the answer.
+func sendLate(t *testing.T, url, request string) lateAnswer {
+	t.Helper()
+	d := requests[request]
+	q, err := http.NewRequest(d.method, url+d.path, strings.NewReader(d.body))
+	check(t, err)
+	q.Header.Set("Authorization", "Bearer "+testKey)
+	q.Header.Set(header.RequestID, "r")
+	if d.key != "" {
+		q.Header.Set(header.IdempotencyKey, d.key)
+	}
+	r, err := http.DefaultClient.Do(q)
+	check(t, err)
+	check(t, r.Body.Close())
+	return lateAnswer{r.StatusCode, r.Close, r.Header.Get(header.Outcome), r.Header.Get(header.RetryAfter)}
+}
+
+// A call that comes so late in a planned stop that it may not end must be refused before it
+// runs; it was passed on and cut. What ends in time is served: surely if it must not be repeated,
+// and otherwise if it takes no longer than the calls before it. "usual" is the script of those.
 func TestStopRefusesLateCall(t *testing.T) {
 	for _, c := range []struct {
-		method, key string
-		left        time.Duration
-		status      int
+		request, usual string
+		peer           bool
+		left           time.Duration
+		status         int
 	}{
-		{http.MethodPost, "", time.Second, http.StatusServiceUnavailable},
-		{http.MethodPost, "", 5 * time.Second, http.StatusOK},
-		{http.MethodGet, "", time.Second, http.StatusOK},
-		{http.MethodPost, "key-1", time.Second, http.StatusOK},
+		{"booking", "", false, time.Second, http.StatusServiceUnavailable},
+		{"booking", "whole", false, time.Second, http.StatusServiceUnavailable},
+		{"booking", "", false, 5 * time.Second, http.StatusOK},
+		{"balance", "whole", false, time.Second, http.StatusOK},
+		{"keyed", "whole", false, time.Second, http.StatusOK},
+		{"model", "whole", false, time.Second, http.StatusOK},
+		{"balance", "", false, time.Second, http.StatusServiceUnavailable},
+		{"balance", "", false, 5 * time.Second, http.StatusOK},
+		{"balance", "slow 1200 whole", false, time.Second, http.StatusServiceUnavailable},
+		{"balance", "slow 1200 whole", false, 3 * time.Second, http.StatusOK},
+		{"keyed", "slow 1200 whole", false, time.Second, http.StatusServiceUnavailable},
+		{"model", "slow 1200 whole", false, time.Second, http.StatusServiceUnavailable},
+		{"booking", "", true, time.Second, http.StatusServiceUnavailable},
+		{"balance", "slow 1200 whole", true, time.Second, http.StatusServiceUnavailable},
+		{"balance", "whole", true, time.Second, http.StatusOK},
 	} {
-		e := &scriptedEndpoints{}
-		g := newTestGateway(t, e)
-		g.stopper.Begin(time.Now().Add(c.left))
-		s := httptest.NewServer(g.callerRoutes())
-		defer s.Close()
-		q, err := http.NewRequest(c.method, s.URL+"/booking/deposits", strings.NewReader("{}"))
-		check(t, err)
-		q.Header.Set("Authorization", "Bearer "+testKey)
-		if c.key != "" {
-			q.Header.Set(header.IdempotencyKey, c.key)
-		}
-		r, err := http.DefaultClient.Do(q)
-		check(t, err)
-		check(t, r.Body.Close())
-		if r.StatusCode != c.status || !r.Close {
-			t.Errorf("%s with key %q and %s left: status %d, close %t; want %d", c.method, c.key, c.left, r.StatusCode, r.Close, c.status)
-		}
-		if ran := strings.Contains(e.String(), "ran=1"); ran != (c.status == http.StatusOK) {
-			t.Errorf("%s with key %q and %s left: %s", c.method, c.key, c.left, e)
-		}
-		if c.status != http.StatusOK && (r.Header.Get(header.RetryAfter) == "" || r.Header.Get(header.Outcome) != header.NotRun) {
-			t.Errorf("the refusal has Retry-After %q and outcome %q", r.Header.Get(header.RetryAfter), r.Header.Get(header.Outcome))
-		}
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			t.Parallel()
+			e := &scriptedEndpoints{}
+			g := newTestGateway(t, e)
+			h := g.callerRoutes()
+			if c.peer {
+				h = http.HandlerFunc(g.servePeer)
+			}
+			s := httptest.NewServer(h)
+			defer s.Close()
+			want := 0
+			if c.usual != "" {
+				// The last one may be counted after its answer has arrived.
+				want = 5
+				e.script = slices.Repeat([]string{c.usual}, want)
+			}
+			for range want {
+				sendLate(t, s.URL, strings.ReplaceAll(c.request, "booking", "balance"))
+				// The answer named no limit.
+				e.report("a", router.Ready)
+				e.report("b", router.Ready)
+			}
+			g.stopper.Begin(time.Now().Add(c.left))
+			r := sendLate(t, s.URL, c.request)
+			if r.status != c.status || r.close == c.peer {
+				t.Errorf("status %d, close %t; want %d", r.status, r.close, c.status)
+			}
+			if c.status == http.StatusOK {
+				want++
+			}
+			if e.ran != want {
+				t.Errorf("%d calls ran, want %d", e.ran, want)
+			}
+			if c.status != http.StatusOK && (r.retryAfter == "" || r.outcome != header.NotRun) {
+				t.Errorf("the refusal has Retry-After %q and outcome %q", r.retryAfter, r.outcome)
+			}
+		})
 	}
 }
