agent: requests at the end of a planned stop get an answer

The end of an agent's planned stop closed the connections of the requests that still ran without an answer, and came after up to twice its time: once for the requests in flight and once for the servers. The requests are now cut listener.ExitMargin before the time is up (stopper.Stopper, listener.DrainAll). Their gateway gets what it knows already: 503 not-run for a request whose body isn't whole, which it may send elsewhere in any case; 502 failed for a completion, and an error event in a stream, which it repeats or resumes elsewhere; 502 unknown for a call of a service, which it repeats only if that is safe. A whole answer of an engine of which a part was sent is broken off as before.

TestEndOfStopAnswersRequests on the code before, with a stop of 1 s: "no answer" for model, post, get and body, "200 run broken-off" for the stream, and "the stop took 2.00 s of 1 s" for each of them.

--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/problem"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
@@ -18,6 +20,9 @@
 	maxBody = 8 << 20
 	// maxTime bounds one request.
 	maxTime = time.Hour
+	// stopped is the reason of a failure because the end of a planned stop has cut the request.
+	stopped       = "stopped"
+	stoppedDetail = "this endpoint stopped before the answer was whole"
 )
 
 // visit is one request at the agent.
@@ -34,14 +39,20 @@
 
 // arrive reads the whole request, so that a cut one is refused before any work.
 func (a *Agent) arrive(w http.ResponseWriter, q *http.Request) (*visit, context.Context, context.CancelFunc, bool) {
+	left := header.Remaining(q.Header, maxTime)
+	ctx, cancel := context.WithTimeout(q.Context(), left)
+	w, remove := a.stopper.Add(w, cancel)
+	stop := func() {
+		remove()
+		cancel()
+	}
 	v := &visit{agent: a, w: &sender.Writer{ResponseWriter: w}, q: q, id: q.Header.Get(header.RequestID), begun: time.Now()}
 	w.Header().Set(header.RequestID, v.id)
-	left := header.Remaining(q.Header, maxTime)
 	if left <= 0 {
+		stop()
 		v.refuse("deadline", "the deadline has passed")
 		return nil, nil, nil, false
 	}
-	ctx, stop := context.WithTimeout(q.Context(), left)
 	b, err := receiver.Body(v.w, q, maxBody, v.begun.Add(left))
 	if err != nil {
 		stop()
@@ -52,6 +63,11 @@
 	return v, ctx, stop, true
 }
 
+// isStopped reports whether the end of a planned stop has cut the request with the given context.
+func (v *visit) isStopped(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && v.agent.stopper.IsCut()
+}
+
 // refusal returns why operators want no new work here, or "".
 func (a *Agent) refusal() string {
 	s := a.replica.Current()
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/internal/listener"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/settings"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/stopper"
 	"github.com/eelgrassdrift/eelgrassdrift/limiter"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/relayer"
@@ -76,6 +77,7 @@
 	back    backend
 	relay   *relayer.Client
 	leaving atomic.Bool
+	stopper stopper.Stopper
 }
 
 // Rates bound the transfer of chunks in bytes a second; 0 sets no bound.
@@ -143,34 +145,36 @@
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
-			a.leave()
 		case <-work.Done():
 		}
-		c, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.StopTimeout)
-		defer cancel()
-		for _, s := range servers {
-			if err := s.Drain(c); err != nil {
-				a.Log.Warn().Err(err).Msg("planned stop timed out")
-			}
-		}
+		a.stop(servers)
 		stop()
 		return nil
 	})
 	return g.Wait()
 }
 
+// stop makes the planned stop: it announces it, refuses new work, finishes what is in flight, and
+// cuts what takes too long.
+func (a *Agent) stop(servers []*listener.Drainer) {
+	cut := time.Now().Add(a.StopTimeout - listener.ExitMargin)
+	a.leave(cut)
+	if n, err := listener.DrainAll(servers, cut, a.stopper.Cut); err != nil {
+		a.Log.Warn().Int("cut", n).Err(err).Msg("planned stop timed out")
+	}
+}
+
 // leaveNotice is the time between the announcement of a planned stop and the
 // end of new work that gateways may still send. It is one report interval.
 const leaveNotice = 2 * time.Second
 
-// leave makes the planned stop: announce, refuse new work, finish what is in
-// flight.
-func (a *Agent) leave() {
+// leave announces the planned stop, refuses new work and waits until cut for what is in flight.
+func (a *Agent) leave(cut time.Time) {
 	a.Log.Info().Int("in-flight", a.limit.InFlight()).Msg("planned stop")
 	a.leaving.Store(true)
 	a.back.leave()
 	a.changed.Fire()
-	t := time.After(a.StopTimeout)
+	t := time.After(time.Until(cut))
 	notice := time.After(leaveNotice)
 	for a.limit.InFlight() > 0 || notice != nil {
 		select {
@@ -178,7 +182,6 @@
 			notice = nil
 		case <-time.After(20 * time.Millisecond):
 		case <-t:
-			a.Log.Warn().Int("in-flight", a.limit.InFlight()).Msg("planned stop timed out")
 			return
 		}
 	}
--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -19,6 +19,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/distributor"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/problem"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/registrar"
 	"github.com/eelgrassdrift/eelgrassdrift/streamer"
@@ -174,6 +175,10 @@
 func (e *engine) forward(ctx context.Context, v *visit, p activator.Pass) result {
 	r, err := e.send(ctx, v)
 	if err != nil {
+		if v.isStopped(ctx) {
+			v.fail(header.Failed, stopped, stoppedDetail)
+			return endedBy(ctx)
+		}
 		if ctx.Err() != nil {
 			v.fail(header.Failed, "deadline", "the caller's deadline passed or the caller left")
 			return endedBy(ctx)
@@ -269,6 +274,9 @@
 			e.agent.Log.Warn().Str("request-id", v.id).Stringer("fault", streamer.FaultOf(err)).Err(err).Msg("stream broken")
 			n.failed = ctx.Err() == nil
 			n.abort, n.ended = n.failed, ctx.Err() != nil
+			if v.isStopped(ctx) {
+				_ = out.Fail(problem.New(http.StatusBadGateway, header.Failed, stoppedDetail).Encode()) // the caller may have left
+			}
 			return n
 		}
 		n.tokens++
--- a/internal/agent/requests_test.go
+++ b/internal/agent/requests_test.go
@@ -134,6 +134,13 @@
 // newTestAgent returns an agent that has read back version v1 of the engine's
 // boot, and its handler for gateways.
 func newTestAgent(t *testing.T, serves, url string) (*Agent, http.Handler) {
+	t.Helper()
+	a, outer := newListeningAgent(t, serves, url)
+	return a, outer.server.Handler
+}
+
+// newListeningAgent returns such an agent with its server for gateways, which doesn't serve yet.
+func newListeningAgent(t *testing.T, serves, url string) (*Agent, listening) {
 	t.Helper()
 	m, err := meter.New("agent-test")
 	check(t, err)
@@ -150,7 +157,7 @@
 	check(t, err)
 	record(t, a, d.Changes()...)
 	a.gate.Open("v1", "boot")
-	return a, outer.server.Handler
+	return a, outer
 }
 
 // record applies the next record of the log.
