--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -155,6 +155,9 @@
 // another endpoint of the same version, so a partly sent response does not rule
 // out a retry.
 func (c *call) decideRetry(a attemptResult) retrier.Decision {
+	if c.isStopped() {
+		return retrier.Decision{Reason: "stopped"}
+	}
 	return retrier.Decide(&c.gateway.budget, retrier.Attempt{
 		Outcome: a.outcome, Idempotent: c.idempotent, Remaining: time.Until(c.deadline), Tries: c.tries,
 	})
@@ -178,6 +181,9 @@
 }
 
 func (c *call) pickOnce() (target, error) {
+	if c.isStopped() || !c.endsInTime() {
+		return target{}, errStopping
+	}
 	g := c.gateway
 	s := g.replica.Current()
 	c.mu.Lock()
@@ -239,6 +245,10 @@
 // giveUp sends the final error response. Its outcome is "not-run" only if no
 // attempt may have run.
 func (c *call) giveUp(last attemptResult, err error) {
+	if !c.ran && (c.isStopped() || errors.Is(err, errStopping)) {
+		c.refuse(stopping, stopProblem())
+		return
+	}
 	p := problem.New(http.StatusServiceUnavailable, header.NotRun, last.detail)
 	p.RetryAfter = last.retryAfter
 	switch {
@@ -252,7 +262,11 @@
 			p.Detail += "; " + last.detail
 		}
 	}
-	if !time.Now().Before(c.deadline) && c.ran {
+	late := !time.Now().Before(c.deadline)
+	if c.ran && late {
+		c.noteDuration()
+	}
+	if c.ran && (late || c.isStopped()) {
 		p.Status, p.Title = http.StatusGatewayTimeout, http.StatusText(http.StatusGatewayTimeout)
 	}
 	reason := last.reason
@@ -285,4 +299,7 @@
 	g.Log.Info().Str("request-id", c.id).Str("serves", c.serves).Str("endpoint", string(a.target.name)).Str("version", string(c.version)).
 		Int("status", status).Int("tries", a.number).Dur("took-ms", time.Since(c.begun)).Msg("request completed")
 	g.counters.request(c.q.Context(), c.serves, header.Run, time.Since(c.begun))
+	if status < http.StatusBadRequest {
+		c.noteDuration()
+	}
 }
