--- a/internal/agent/requests_test.go
+++ b/internal/agent/requests_test.go
@@ -140,7 +140,7 @@
 }
 
 // newListeningAgent returns such an agent with its server for gateways, which doesn't serve yet.
-func newListeningAgent(t *testing.T, serves, url string) (*Agent, listening) {
+func newListeningAgent(t testing.TB, serves, url string) (*Agent, listening) {
 	t.Helper()
 	m, err := meter.New("agent-test")
 	check(t, err)
--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -203,7 +203,7 @@
 }
 
 // newTestServers returns the gateway with its servers, which don't serve yet.
-func newTestServers(t *testing.T, e *scriptedEndpoints) (*Gateway, *servers) {
+func newTestServers(t testing.TB, e *scriptedEndpoints) (*Gateway, *servers) {
 	t.Helper()
 	m, err := meter.New("gateway-test")
 	check(t, err)
