gateway: no second attempt while a caller accepts its answer

Cause: silentAttempt waits for the lock under which a whole answer is written. If the endpoint left or lost its engine while a slow caller accepted the answer, the endpoint counted as silent after the write: a retry was spent and another attempt begun for a call that had been answered.

Change: silentAttempt returns nil once the call is answered, and looks at all attempts under one lock.

--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -38,6 +38,9 @@
 models: [{name: m, order-timeout: 30s}]
 `
 
+// leavingTime is how long after its answer the agent of a leaving endpoint leaves.
+const leavingTime = 500 * time.Millisecond
+
 // scriptedEndpoints fakes two endpoints that answer attempts as a script says.
 type scriptedEndpoints struct {
 	mu     sync.Mutex
@@ -70,9 +73,11 @@
 
 // serve answers one attempt by its script line: whole [VERSION], refuse REASON,
 // empty STATUS, fail, unknown, drop, cut, bare, invalid STATUS, or stream VERSION FRAMES [cut] or
-// [quiet MS FRAMES] or [gone MS FRAMES]. "foreign" before it answers another request, "old" leaves the
-// request id out, "quiet MS" is silent before it answers. "raw" closes the connection after
-// the bytes, in which "|" is the end of a line and "@" the lines of an agent's answer.
+// [quiet MS FRAMES] or [gone MS FRAMES].
+// "foreign" before it answers another request, "old" leaves the request id out, "quiet MS"
+// is silent before it answers, and the agent of "leaving" leaves after the answer. "raw" closes the
+// connection after the bytes, in which "|" is the end of a line and "@" the lines of an agent's
+// answer.
 func (e *scriptedEndpoints) serve(name string, w http.ResponseWriter, q *http.Request) {
 	_, _ = io.Copy(io.Discard, q.Body)
 	s := append(e.next(name, q), "", "", "", "")
@@ -90,6 +95,9 @@
 	case "quiet", "gone":
 		e.quiet(q, name, s[1], s[0] == "gone")
 		s = s[2:]
+	case "leaving":
+		time.AfterFunc(leavingTime, func() { e.detach(name) })
+		s = s[1:]
 	}
 	switch s[0] {
 	case "empty":
@@ -334,6 +342,43 @@
 	}
 }
 
+// slowCaller is the response to a caller that takes a while to accept some parts of it.
+type slowCaller struct {
+	http.ResponseWriter
+	delay time.Duration
+	// parts is the number of parts for which the caller takes the delay.
+	parts int
+}
+
+// forSlowCaller returns a handler whose caller takes d for each of the first two parts.
+func forSlowCaller(h http.Handler, d time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		h.ServeHTTP(&slowCaller{ResponseWriter: w, delay: d, parts: 2}, q)
+	})
+}
+
+func (w *slowCaller) accept() {
+	if w.parts > 0 {
+		w.parts--
+		time.Sleep(w.delay)
+	}
+}
+
+// Unwrap returns the underlying writer for http.ResponseController.
+func (w *slowCaller) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Write implements io.Writer.
+func (w *slowCaller) Write(b []byte) (int, error) {
+	w.accept()
+	return w.ResponseWriter.Write(b)
+}
+
+// FlushError sends buffered data. http.ResponseController calls it.
+func (w *slowCaller) FlushError() error {
+	w.accept()
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
 // String returns the number of attempts, of those that were not refused, and of
 // the endpoints that were tried.
 func (e *scriptedEndpoints) String() string {
--- a/internal/gateway/race.go
+++ b/internal/gateway/race.go
@@ -210,12 +210,17 @@
 	}
 }
 
-// silentAttempt returns the last attempt if the endpoints of all that run are silent,
-// otherwise nil.
+// silentAttempt returns the last attempt if the endpoints of all that run are silent and the
+// caller doesn't have its answer, otherwise nil. It waits for a write to the caller to end.
 func (c *call) silentAttempt() *attempt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answered {
+		return nil
+	}
 	var last *attempt
 	for _, a := range c.running {
-		if a.isSuperseded() {
+		if a.superseded {
 			continue
 		}
 		if !a.watch.isSilent() {
