direct: an agent's planned stop sends the chunks in flight

A direct agent closed its connections at once when it was stopped: the chunks that it sent were cut, and peers that waited for a chunk got no answer. It now takes no further connections, sends the chunks in flight for up to 1 s, and answers the waits at once as if their time were up (distributor.Handler.Stop), so that peers turn to the next source. The agent ends by up to 1 s later while it sends a chunk or has a connection without a request.

--- a/distributor/handler.go
+++ b/distributor/handler.go
@@ -59,6 +59,9 @@
 	limiter     *rate.Limiter
 	sent        counters
 	holders     holders
+	// stopped is done after Stop.
+	stopped context.Context
+	stop    context.CancelFunc
 
 	mu     sync.Mutex
 	loadAt time.Time
@@ -72,6 +75,7 @@
 		if h.Now == nil {
 			h.Now = time.Now
 		}
+		h.stopped, h.stop = context.WithCancel(context.Background())
 		h.regionSlots = make(chan struct{}, h.SendParallel)
 		h.remoteSlots = make(chan struct{}, h.SendParallel)
 		if h.SendRate > 0 {
@@ -86,6 +90,13 @@
 // Stats returns the bytes that this instance sent to peers.
 func (h *Handler) Stats() Stats { return Stats{Sent: h.sent.load()} }
 
+// Stop begins a planned stop: requests that wait for a chunk or for a slot get their answer at
+// once, and bodies are sent on.
+func (h *Handler) Stop() {
+	h.setUp()
+	h.stop()
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	h.setUp()
@@ -111,6 +122,7 @@
 	}
 	ctx, cancel := context.WithTimeout(q.Context(), wait)
 	defer cancel()
+	defer context.AfterFunc(h.stopped, cancel)()
 	b, ok := h.Store.Get(d)
 	if !ok {
 		// A request from an instance in the wait chain would wait in vain, unless
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -14,6 +14,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/distributor"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/listener"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
@@ -36,6 +37,9 @@
 	// sendTimeout limits sending a chunk, so that a peer that is gone doesn't occupy one
 	// of the maxSentChunks for longer.
 	sendTimeout = time.Second
+	// stopTimeout limits a planned stop, in which the chunks in flight are sent. It is longer
+	// than a chunk takes, as chunkLate is.
+	stopTimeout = time.Second
 	// agentBeatInterval is the interval at which the process notes that it runs, and
 	// maxAgentBeatInterval the time between two notes from which it counts as paused.
 	agentBeatInterval    = 400 * time.Millisecond
@@ -119,12 +123,12 @@
 		return err
 	}
 	e, ctx := errgroup.WithContext(ctx)
-	for address, h := range map[netip.AddrPort]http.Handler{a.Peers: a.handler(), a.Metrics: a.Meter.Handler} {
-		if !address.IsValid() {
-			continue
-		}
-		s := newServer(h)
-		if _, err := serve(ctx, e, address, s); err != nil {
+	if _, err := a.servePeers(ctx, e); err != nil {
+		return err
+	}
+	if a.Metrics.IsValid() {
+		s := newServer(a.Meter.Handler)
+		if _, err := serve(ctx, e, a.Metrics, s); err != nil {
 			return err
 		}
 		context.AfterFunc(ctx, func() { _ = s.Close() })
@@ -139,6 +143,27 @@
 	return err
 }
 
+// servePeers serves the other agents until ctx is done, and sends them the chunks in flight.
+func (a *Agent) servePeers(ctx context.Context, e *errgroup.Group) (*listener.Drainer, error) {
+	h := a.chunkHandler()
+	d, err := serve(ctx, e, a.Peers, newServer(a.handler(h)))
+	if err != nil {
+		return nil, err
+	}
+	e.Go(func() error {
+		<-ctx.Done()
+		h.Stop()
+		c, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+		defer cancel()
+		if err := d.Drain(c); err != nil && c.Err() != nil {
+			a.Log.Warn().Err(err).Msg("stop-cut-chunks")
+		}
+		_ = d.Server.Close() // the listener is closed already
+		return nil
+	})
+	return d, nil
+}
+
 // beat lets the monitor notice pauses of the process. A version that is named in a pause must
 // not count as named at its end: its load, and that of a superseded version, would be late.
 func (a *Agent) beat(ctx context.Context) error {
@@ -220,9 +245,16 @@
 	}
 }
 
-func (a *Agent) handler() http.Handler {
+func (a *Agent) chunkHandler() *distributor.Handler {
+	return &distributor.Handler{
+		Store: a.chunks, Self: a.self(), SendRate: a.Link / bitsPerByte * linkShare, LiveLoad: a.liveLoad,
+		SendParallel: maxSentChunks, WriteTimeout: sendTimeout, Log: a.Log,
+	}
+}
+
+func (a *Agent) handler(chunks http.Handler) http.Handler {
 	m := http.NewServeMux()
-	m.Handle("/", &distributor.Handler{Store: a.chunks, Self: a.self(), SendRate: a.Link / bitsPerByte * linkShare, LiveLoad: a.liveLoad, SendParallel: maxSentChunks, WriteTimeout: sendTimeout, Log: a.Log})
+	m.Handle("/", chunks)
 	m.HandleFunc("GET /v1/digests/{version}", a.serveDigests)
 	return m
 }
