direct: digests of a peer are read on a connection of their own

An answer with the digests of a version doesn't name the version, and all have one length. On a connection in use again, the second copy of an earlier answer was taken for the digests of the next version, of which no piece would ever have matched. Peers are net/http, which sends no second answer, so this needs a faulty link or another program at the address; one connection for each version and instance costs little.

--- a/internal/direct/digests.go
+++ b/internal/direct/digests.go
@@ -144,12 +144,26 @@
 	}
 }
 
+// onNewConnection returns a client that makes a connection for each request. Idle connections
+// of c are not used.
+func onNewConnection(c *http.Client) *http.Client {
+	n := *c
+	if t, ok := c.Transport.(*http.Transport); ok {
+		t = t.Clone()
+		t.DisableKeepAlives = true
+		n.Transport = t
+	}
+	return &n
+}
+
+// requestDigests asks a peer. The answer doesn't name its version, and on a connection in use
+// again the second copy of an earlier one would be taken for it.
 func (a *Agent) requestDigests(ctx context.Context, peer netip.AddrPort, version int64) ([][32]byte, error) {
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+"/v1/digests/"+strconv.FormatInt(version, 10), http.NoBody)
 	if err != nil {
 		return nil, errors.Wrap(err, "ask for digests")
 	}
-	r, err := a.follower.client.Do(q)
+	r, err := onNewConnection(a.follower.client).Do(q)
 	if err != nil {
 		return nil, errors.Wrap(err, "ask for digests")
 	}
