observer: a table that a peer sends names itself

The tables of a peer are read over the same connections, and an answer didn't say which one it holds. The second copy of an answer that was read as the next one put records of one table into another, with the next offset of that: records before it would never have been read. An answer now has the table's name in a header, and one with another name is refused; older processes send none. As with digests this needs a faulty link or another program at the address, since peers are net/http.

--- a/observer/exchange.go
+++ b/observer/exchange.go
@@ -28,6 +28,9 @@
 // Class returns the kind of the failure.
 func (e *Error) Class() classifier.Kind { return e.Kind }
 
+// tableHeader names the table of a response, so that another response isn't taken for it.
+const tableHeader = "Eelgrass-Table"
+
 // Handler serves tables to peers: GET /v1/tables/{name}?from=N&wait-ms=N. Its fields
 // are set before the first request, and the maps aren't changed.
 type Handler struct {
@@ -70,6 +73,7 @@
 		view.shorten(c.Items)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(tableHeader, name)
 	// If the write fails, the peer fails to decode the response and asks the next peer.
 	_ = json.NewEncoder(w).Encode(c)
 }
--- a/observer/peers.go
+++ b/observer/peers.go
@@ -136,6 +136,10 @@
 	if o.StatusCode != http.StatusOK {
 		return c, &Error{Op: op, Kind: classifier.Unavailable, Err: errors.Newf("status %d", o.StatusCode)}
 	}
+	// Processes of older versions name no table.
+	if name := o.Header.Get(tableHeader); name != "" && name != r.Table {
+		return c, &Error{Op: op, Kind: classifier.Invalid, Err: errors.Newf("the response is the table %.40q", name)}
+	}
 	b := io.LimitReader(watcher.Reader(ctx, o.Body), maxResponseBytes)
 	if err := json.NewDecoder(b).Decode(&c); err != nil {
 		return c, &Error{Op: op, Kind: classifier.Invalid, Err: err}
