stopper: calls in progress keep their further attempts in a planned stop

Each attempt was made only if the call ended before the cut by its usual time. For a call that had begun before the stop, whose endpoint broke off and of whose kind too few were known, that ended the call at once, however far the cut was: a stream got its error event, a call that may be repeated 502 or 503. Nobody else can continue a stream that has begun, and trying costs its caller nothing.

A stream that has begun is now resumed until the cut, on the direct path too, and a call from before the stop is tried where the usual time isn't known. What may run once only must surely end, as before. decideRetry asks before it takes a retry from the budget.

TestStopKeepsAttemptsOfCallInProgress: on the code before five of six cases fail (stream: error event; model and balance: 502; model and keyed, refused: 503).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -155,8 +155,8 @@
 // another endpoint of the same version, so a partly sent response does not rule
 // out a retry.
 func (c *call) decideRetry(a attemptResult) retrier.Decision {
-	if c.isStopped() {
-		return retrier.Decision{Reason: "stopped"}
+	if c.isStopped() || !c.endsInTime() {
+		return retrier.Decision{Reason: stopping}
 	}
 	return retrier.Decide(&c.gateway.budget, retrier.Attempt{
 		Outcome: a.outcome, Idempotent: c.idempotent, Remaining: time.Until(c.deadline), Tries: c.tries,
@@ -245,7 +245,7 @@
 // giveUp sends the final error response. Its outcome is "not-run" only if no
 // attempt may have run.
 func (c *call) giveUp(last attemptResult, err error) {
-	if !c.ran && (c.isStopped() || errors.Is(err, errStopping)) {
+	if !c.ran && (c.isStopped() || !c.endsInTime()) {
 		c.refuse(stopping, stopProblem())
 		return
 	}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -102,3 +103,44 @@
 		})
 	}
 }
+
+// A call that is in progress when a planned stop begins must keep its further attempts: a stream
+// that broke off wasn't resumed, and a call that may be repeated failed, long before the cut.
+func TestStopKeepsAttemptsOfCallInProgress(t *testing.T) {
+	for _, c := range []struct {
+		request string
+		script  []string
+		status  int
+	}{
+		{"stream", []string{"slow 600 stream v1 2 cut", "stream v1 5"}, http.StatusOK},
+		{"model", []string{"slow 600 drop", "whole"}, http.StatusOK},
+		{"model", []string{"slow 600 refuse leaving", "whole"}, http.StatusOK},
+		{"balance", []string{"slow 600 drop", "whole"}, http.StatusOK},
+		{"keyed", []string{"slow 600 refuse leaving", "whole"}, http.StatusOK},
+		{"booking", []string{"slow 600 refuse leaving", "whole"}, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.request+" "+c.script[0], func(t *testing.T) {
+			t.Parallel()
+			e := &scriptedEndpoints{script: c.script}
+			g := newTestGateway(t, e)
+			s := httptest.NewServer(g.callerRoutes())
+			defer s.Close()
+			time.AfterFunc(300*time.Millisecond, func() { g.stopper.Begin(time.Now().Add(3 * time.Second)) })
+			d := requests[c.request]
+			q, err := http.NewRequest(d.method, s.URL+d.path, strings.NewReader(d.body))
+			check(t, err)
+			q.Header.Set("Authorization", "Bearer "+testKey)
+			if d.key != "" {
+				q.Header.Set(header.IdempotencyKey, d.key)
+			}
+			r, err := http.DefaultClient.Do(q)
+			check(t, err)
+			b, err := io.ReadAll(r.Body)
+			check(t, err)
+			check(t, r.Body.Close())
+			if r.StatusCode != c.status || strings.Contains(string(b), "error") {
+				t.Errorf("status %d and %q, want %d", r.StatusCode, b, c.status)
+			}
+		})
+	}
+}
--- a/internal/stopper/stopper.go
+++ b/internal/stopper/stopper.go
@@ -11,20 +11,25 @@
 // Stopper decides in a planned stop which requests still begin, and cuts those in progress at
 // its end. The zero value is ready.
 type Stopper struct {
-	// cutAt is the time at which the planned stop cuts the calls in progress; nil unless
-	// the process stops.
-	cutAt atomic.Pointer[time.Time]
+	// stop is the planned stop; nil unless the process stops.
+	stop atomic.Pointer[stop]
 	// all holds the durations of the requests of each name.
 	all   sync.Map
 	calls calls
 }
 
+// stop describes a planned stop.
+type stop struct {
+	// cut is the time at which the calls in progress are cut.
+	began, cut time.Time
+}
+
 // Begin begins a planned stop. From now on EndsInTime reports false for each request that may
 // not end before cut, the time at which Cut is called.
-func (s *Stopper) Begin(cut time.Time) { s.cutAt.Store(&cut) }
+func (s *Stopper) Begin(cut time.Time) { s.stop.Store(&stop{began: time.Now(), cut: cut}) }
 
 // IsStopping reports whether a planned stop has begun.
-func (s *Stopper) IsStopping() bool { return s.cutAt.Load() != nil }
+func (s *Stopper) IsStopping() bool { return s.stop.Load() != nil }
 
 // Request describes a request to EndsInTime.
 type Request struct {
@@ -38,21 +43,24 @@
 }
 
 // EndsInTime reports whether the request ends before a planned stop cuts it, if it is sent
-// now: surely if it may run once only, and otherwise if it takes no longer than usual.
+// now: surely if it may run once only, and otherwise if it takes no longer than usual. Where the
+// usual time isn't known, only requests that began before the stop are taken for ones that do. A
+// stream that the caller has begun to read goes on until the cut, as nobody else can continue it.
 func (s *Stopper) EndsInTime(r Request) bool {
-	cut := s.cutAt.Load()
-	if cut == nil || !r.Deadline.After(*cut) {
+	p := s.stop.Load()
+	if p == nil || !r.Deadline.After(p.cut) {
 		return true
 	}
-	d, known := s.usual(r.Name)
-	switch {
-	case r.AtMostOnce || !known:
-		return false
+	now := time.Now()
+	switch d, known := s.usual(r.Name); {
 	case r.Started:
-		// Only the rest of the stream is left.
-		return time.Now().Before(*cut) && !r.Begun.Add(d).After(*cut)
+		return now.Before(p.cut)
+	case r.AtMostOnce:
+		return false
+	case known:
+		return !now.Add(d).After(p.cut)
 	}
-	return !time.Now().Add(d).After(*cut)
+	return r.Begun.Before(p.began) && now.Before(p.cut)
 }
 
 // usual returns how long the requests of the name usually take, or false while that isn't known.
