direct: late endpoint lists don't prolong the wait for one

A further wait began for each newer list that could have been young after the last wait began.

A further wait now begins only if a list was used since, because it wasn't too old. Each beat of the gateway notes that, so that it doesn't depend on requests.

TestLateListsDoNotProlongListWait said before: "lists of 1.7s: requests are still held after 1.93s".

--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -226,7 +226,7 @@
 		case due := <-t.C:
 			g.lag.observe(time.Since(due), g.Log)
 		}
-		g.monitor.Beat()
+		g.beat()
 		g.follower.state.ExpireEndpoints()
 		g.dispatcher.Update()
 		if time.Since(swept) > sweepInterval {
--- a/internal/direct/list_wait.go
+++ b/internal/direct/list_wait.go
@@ -32,22 +32,39 @@
 	paused time.Duration
 	// confirmed is the time of the list that was too old then.
 	confirmed time.Time
+	// isUsed reports whether a list has been used since, because it wasn't too old.
+	isUsed bool
+}
+
+// use records that the list in use isn't too old.
+func (w *listWait) use() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isUsed = true
 }
 
 // isOver reports whether requests have waited long enough for a list that replaces the one that
-// was confirmed at the given time. A further wait begins after a long pause, or if the list was
-// younger than maxAge after the last wait began.
-func (w *listWait) isOver(confirmed time.Time, maxAge time.Duration, p timekeeper.Pauses) bool {
+// was confirmed at the given time. A further wait begins after a long pause, or for a newer list if
+// one was used since the last wait began: lists that are too old when they come would prolong
+// the wait.
+func (w *listWait) isOver(confirmed time.Time, p timekeeper.Pauses) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	isNewer := confirmed.After(w.confirmed) && confirmed.Add(maxAge).After(w.began)
+	isNewer := confirmed.After(w.confirmed) && (w.isUsed || w.began.IsZero())
 	if isNewer || p.LongEnd.After(w.began) {
-		w.began, w.paused, w.confirmed = p.Now, p.Total, confirmed
+		w.began, w.paused, w.confirmed, w.isUsed = p.Now, p.Total, confirmed, false
 	}
 	held := p.Now.Sub(w.began)
 	return held > maxListHold || held-(p.Total-w.paused) > maxListWait
 }
 
+// beat notes that the process runs, and whether the endpoint list may be used, which no request
+// may ask for a while.
+func (g *Gateway) beat() {
+	g.monitor.Beat()
+	g.isCurrent()
+}
+
 // isCurrent reports whether requests may go by the endpoint list in use. In a pause of the
 // process endpoints may have left, and others may use their addresses.
 //
@@ -57,11 +74,13 @@
 // maxListWait, and after further short pauses at once.
 func (g *Gateway) isCurrent() bool {
 	p, confirmed := g.monitor.Pauses(), g.follower.listInUse()
-	if p.Now.Sub(p.End) > maxListWait || confirmed.After(p.End) {
+	isReadSince := p.Now.Sub(p.LongEnd) > maxListWait || confirmed.After(p.LongEnd)
+	isYoung := p.Now.Sub(confirmed) <= g.maxListAge()
+	if p.Now.Sub(p.End) > maxListWait || confirmed.After(p.End) || isReadSince && isYoung {
+		g.listWait.use()
 		return true
 	}
-	isReadSince := p.Now.Sub(p.LongEnd) > maxListWait || confirmed.After(p.LongEnd)
-	if isReadSince && p.Now.Sub(confirmed) <= g.maxListAge() || g.listWait.isOver(confirmed, g.maxListAge(), p) {
+	if g.listWait.isOver(confirmed, p) {
 		return true
 	}
 	g.follower.listOutdated()
--- a/internal/direct/list_wait_test.go
+++ b/internal/direct/list_wait_test.go
@@ -25,7 +25,7 @@
 
 // run lets the process run for a time.
 func (c *listClock) run(d time.Duration) {
-	for end := c.now.Add(d); c.now.Before(end); c.monitor.Beat() {
+	for end := c.now.Add(d); c.now.Before(end); c.beat() {
 		c.now = c.now.Add(min(updateInterval, end.Sub(c.now)))
 	}
 }
@@ -164,3 +164,26 @@
 		t.Error("a list of 4.9 s is current after a pause")
 	}
 }
+
+// Lists that are too old when they come, as from a store that answers late, must not prolong the
+// wait with each one: requests were held for as long as they came.
+func TestLateListsDoNotProlongListWait(t *testing.T) {
+	for _, age := range []time.Duration{1200 * time.Millisecond, 1700 * time.Millisecond, 2400 * time.Millisecond} {
+		c := newListClock()
+		c.run(time.Second)
+		c.read(age)
+		released := c.now
+		for range 60 {
+			c.pause(310 * time.Millisecond)
+			for range 5 {
+				if held := c.now.Sub(released); !c.isCurrent() && held > 1700*time.Millisecond {
+					t.Fatalf("lists of %s: requests are still held after %s", age, held)
+				} else if c.isCurrent() {
+					released = c.now
+				}
+				c.run(100 * time.Millisecond)
+			}
+			c.read(age)
+		}
+	}
+}
