gateway: a silent relay connection doesn't hold up a planned stop

Found in review. grpc.Server.Stop waits for connections that are being opened, for up to 120 s. A connection to the relay that sends nothing, as of a path that is cut during the connect or a check that only opens TCP, kept the process for as long: callers were drained, but agents stayed attached to a gateway that served nothing. Connections now have 3 s to be opened, and both servers are stopped at once.

TestStopBesideSilentRelayConnection said before: "the stop hasn't ended" (6 s).

--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -151,3 +151,25 @@
 		t.Errorf("the callers got %v, and %d calls ran", n, e.ran)
 	}
 }
+
+// A connection to the relay that sends nothing must not hold up the end of a planned stop.
+func TestStopBesideSilentRelayConnection(t *testing.T) {
+	g := newStoppingGateway(t, &scriptedEndpoints{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	check(t, err)
+	go func() { _ = g.servers.relay.Serve(l) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	check(t, err)
+	defer func() { _ = c.Close() }()
+	time.Sleep(200 * time.Millisecond)
+	done := make(chan struct{})
+	go func() {
+		g.stop()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(g.gateway.StopTimeout + handshakeTimeout + 2*time.Second):
+		t.Error("the stop hasn't ended")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math"
 	"net"
 	"net/http"
@@ -33,6 +34,9 @@
 	"github.com/eelgrassdrift/eelgrassdrift/router"
 )
 
+// handshakeTimeout is how long a connection to the relay or the operator API may take to be opened.
+const handshakeTimeout = 3 * time.Second
+
 // Gateway is the process on an entry instance. The fields are set before Run.
 type Gateway struct {
 	settings.Node
@@ -146,8 +150,20 @@
 	if n, err := listener.DrainAll([]*listener.Drainer{s.callers, s.peers}, cut, g.stopper.Cut); err != nil {
 		g.Log.Warn().Int("cut", n).Err(err).Msg("planned stop timed out")
 	}
-	s.operators.Stop()
-	s.relay.Stop()
+	var t errgroup.Group
+	for _, v := range []*grpc.Server{s.operators, s.relay} {
+		t.Go(func() error {
+			v.Stop()
+			return nil
+		})
+	}
+	_ = t.Wait() // no function returns an error
+}
+
+// newGRPCServer returns a server whose Stop waits no longer than handshakeTimeout for connections
+// that are being opened.
+func newGRPCServer(c *tls.Config, o []grpc.ServerOption) *grpc.Server {
+	return grpc.NewServer(append(o, grpc.Creds(authenticator.Credentials(c)), grpc.ConnectionTimeout(handshakeTimeout))...)
 }
 
 func (g *Gateway) listen(ctx context.Context) (l listeners, err error) {
@@ -281,8 +297,8 @@
 		peers: &listener.Drainer{Listener: l.peers, Server: &http.Server{
 			Handler: http.HandlerFunc(g.servePeer), TLSConfig: inner, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeader,
 		}},
-		operators:   grpc.NewServer(append(o.Options(), grpc.Creds(authenticator.Credentials(outer)))...),
-		relay:       grpc.NewServer(append(relayer.ServerOptions(), grpc.Creds(authenticator.Credentials(inner)))...),
+		operators:   newGRPCServer(outer, o.Options()),
+		relay:       newGRPCServer(inner, relayer.ServerOptions()),
 		credentials: authenticator.Credentials(client),
 	}
 	operatorv1.RegisterOperatorServiceServer(s.operators, o)
