gateway: a stream's silence begins when the caller has its frame

Cause: the time of the last frame was that of its arrival, and nothing is read while the caller accepts it. With a caller that took over 5 s for a frame (the limit is 5 s for each part of it), the stream counted as stalled at once, unless the next frame was there already, and another attempt was begun.

Change: writeFrame records the time after the write as well. silentAttempt waits for the same lock.

Test: TestAttempts, "accepts=2800": the caller takes 5.6 s for the first frame, and the second comes 0.3 s later.

--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -73,8 +73,8 @@
 
 // serve answers one attempt by its script line: whole [VERSION], refuse REASON,
 // empty STATUS, fail, unknown, drop, cut, bare, invalid STATUS, or stream VERSION FRAMES [cut] or
-// [quiet MS FRAMES] or [gone MS FRAMES].
-// "foreign" before it answers another request, "old" leaves the request id out, "quiet MS"
+// [quiet MS FRAMES] or [gone MS FRAMES] or [late MS FRAMES], of which "late" pauses without a
+// report. "foreign" before it answers another request, "old" leaves the request id out, "quiet MS"
 // is silent before it answers, and the agent of "leaving" leaves after the answer. "raw" closes the
 // connection after the bytes, in which "|" is the end of a line and "@" the lines of an agent's
 // answer.
@@ -132,7 +132,12 @@
 	case "stream":
 		h.Set(header.Version, s[1])
 		to := writeStream(w, q, 0, s[2])
-		if s[3] == "quiet" || s[3] == "gone" {
+		switch s[3] {
+		case "late":
+			n, _ := strconv.Atoi(s[4])
+			time.Sleep(time.Duration(n) * time.Millisecond)
+			to = writeStream(w, q, to, s[5])
+		case "quiet", "gone":
 			e.quiet(q, name, s[4], s[3] == "gone")
 			to = writeStream(w, q, to, s[5])
 		}
@@ -269,7 +274,8 @@
 // lost because their endpoint was silent for a moment. Each case is one request; each
 // line of its script is the response of an endpoint to one attempt. "alone" leaves one
 // endpoint, "no-retries" takes the budget, "dial" is how long the first connection takes,
-// "limit" is the time limit of a request.
+// "limit" is the time limit of a request, "accepts" how long the caller takes to accept each
+// of the first two parts of its response.
 func TestAttempts(t *testing.T) {
 	datadriven.RunTest(t, "testdata/attempts", func(t *testing.T, d *datadriven.TestData) string {
 		q, ok := requests[d.Cmd]
@@ -302,7 +308,13 @@
 		if d.HasArg("alone") {
 			e.detach("b")
 		}
-		s := httptest.NewServer(g.callerRoutes())
+		h := g.callerRoutes()
+		if d.HasArg("accepts") {
+			var ms int
+			d.ScanArgs(t, "accepts", &ms)
+			h = forSlowCaller(h, time.Duration(ms)*time.Millisecond)
+		}
+		s := httptest.NewServer(h)
 		defer s.Close()
 		r, err := http.NewRequest(q.method, s.URL+q.path, strings.NewReader(q.body))
 		check(t, err)
--- a/internal/gateway/race.go
+++ b/internal/gateway/race.go
@@ -124,6 +124,9 @@
 		c.gateway.Log.Info().Str("request-id", c.id).Err(err).Msg("caller disconnected")
 		panic(http.ErrAbortHandler)
 	}
+	// Nothing was read while the caller accepted the frame, so silence begins now. silentAttempt
+	// waits for c.mu and sees the new time.
+	a.watch.recordFrame()
 	c.position, c.answered = f.Sequence+1, f.End
 	return true
 }
