guarder: an intent of a newer format is one also if it is long

The length of an intent was checked before its format. One of a newer format that is longer than 4 KiB, the limit of this format, was skipped like an invalid record, where a guard has to stop: the call that it stands for could run a second time at an agent of the older version.

TestLongNewerIntent said before: "4118 bytes: decode intent: 4118 bytes; at most 4096 are allowed", and so for 8214 bytes. The package passes with -race.

--- a/guarder/intent.go
+++ b/guarder/intent.go
@@ -62,18 +62,18 @@
 	return errors.Wrap(i.Instance.Check(), "field instance")
 }
 
-// decodeIntent decodes a record. The error for a newer format is of kind Refused,
-// and for any other invalid record of kind Invalid.
+// decodeIntent decodes a record. The error for a newer format, which may be longer, is of
+// kind Refused, and for any other invalid record of kind Invalid.
 func decodeIntent(b []byte) (intent, error) {
 	const op = "decode intent"
 	fail := func(err error) (intent, error) {
 		return intent{}, &Error{Op: op, Kind: classifier.Invalid, Err: err}
 	}
-	if len(b) > maxIntentBytes {
-		return fail(errors.Newf("%d bytes; at most %d are allowed", len(b), maxIntentBytes))
-	}
 	var i intent
-	err := recorder.DecodeStrict(b, &i)
+	err := errors.Newf("%d bytes; at most %d are allowed", len(b), maxIntentBytes)
+	if len(b) <= maxIntentBytes {
+		err = recorder.DecodeStrict(b, &i)
+	}
 	if err == nil {
 		err = i.check()
 	}
--- a/guarder/intent_fuzz_test.go
+++ b/guarder/intent_fuzz_test.go
@@ -48,6 +48,21 @@
 	})
 }
 
+// Guards against an intent of a newer format that is skipped because it is longer than those of
+// this one: the call that it stands for would run again.
+func TestLongNewerIntent(t *testing.T) {
+	for _, n := range []int{1, maxIntentBytes, 2 * maxIntentBytes} {
+		b := []byte(`{"format":2,"more":"` + strings.Repeat("x", n) + `"}`)
+		if _, err := decodeIntent(b); !errors.Is(err, recorder.ErrNewerFormat) || classifier.Of(err) != classifier.Refused {
+			t.Errorf("%d bytes: %.80v", len(b), err)
+		}
+		b[len(`{"format":`)] = '1'
+		if _, err := decodeIntent(b); classifier.Of(err) != classifier.Invalid {
+			t.Errorf("%d bytes of format 1: %.80v", len(b), err)
+		}
+	}
+}
+
 // reply answers each request with the same body.
 type reply []byte
 
