gateway: give back a retry for which there is no endpoint

decideNext takes the retry before an endpoint is looked for. Where none was found, no attempt was made and the budget had one retry less, as on the direct path before.

TestRetryWithoutEndpointKeepsBudget said before: "3.00 of 4 retries are left after a call with attempts=1 ran=1 endpoints=1".

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -69,6 +69,9 @@
 	// tried and triedDomains are excluded from further picks.
 	tried, triedDomains []recorder.Name
 	tries               int
+	// retry is the decision that took a retry from the budget for the next attempt; the zero
+	// value if none did.
+	retry retrier.Decision
 	// ran reports whether an attempt may have run. It is set once a stream has begun.
 	ran bool
 	// limitRefusals counts the refusals by endpoints at their limit.
@@ -128,9 +131,11 @@
 	for more := true; more; more = c.await(ctx) {
 		p, err := c.pick(ctx)
 		if err != nil {
+			c.gateway.budget.Refund(c.retry)
 			c.giveUp(c.last, err)
 			return
 		}
+		c.retry = retrier.Decision{}
 		c.begin(ctx, p)
 	}
 }
--- a/internal/gateway/race.go
+++ b/internal/gateway/race.go
@@ -188,6 +188,7 @@
 	if !d.Retry {
 		c.giveUp(c.last, nil)
 	}
+	c.retry = d
 	return d.Retry
 }
 
--- a/internal/gateway/race_test.go
+++ b/internal/gateway/race_test.go
@@ -35,3 +35,22 @@
 		t.Errorf("%.2f of 4 retries are left after a call with %s", n, e)
 	}
 }
+
+// A retry for which there is no endpoint must not use up the budget.
+func TestRetryWithoutEndpointKeepsBudget(t *testing.T) {
+	e := &scriptedEndpoints{script: []string{"drop"}}
+	g := newTestGateway(t, e)
+	e.detach("b")
+	g.budget.Burst = 4
+	for range 100 {
+		g.budget.Offer()
+	}
+	s := httptest.NewServer(g.callerRoutes())
+	defer s.Close()
+	if r := sendLate(t, s.URL, "balance"); r.status != http.StatusBadGateway {
+		t.Errorf("status %d", r.status)
+	}
+	if n := g.budget.Saved(); n != 4 {
+		t.Errorf("%.2f of 4 retries are left after a call with %s", n, e)
+	}
+}
