direct: a list that was old before a short pause is used after it

Trials with the store away from all gateways showed that a stall of 0.45 s of a busy machine held all requests for 1 s, as the list had been old for long. A gateway without such a pause goes by that list at the same time, so the wait gains nothing. Requests now wait only if the pauses made the list too old; timekeeper.Pauses has their start.

--- a/internal/direct/list_wait.go
+++ b/internal/direct/list_wait.go
@@ -71,7 +71,8 @@
 // After a long pause the list must have been read since. After a shorter one, which is about
 // as long as the time between two reads, it must not be too old; it is if the process was
 // turned away from the store as well. If nothing can be read, the old list is used after
-// maxListWait, and after further short pauses at once.
+// maxListWait, and after further short pauses at once. A list that was too old before a short
+// pause is used after it as well: most likely nobody can read it.
 func (g *Gateway) isCurrent() bool {
 	p, confirmed := g.monitor.Pauses(), g.follower.listInUse()
 	isReadSince := p.Now.Sub(p.LongEnd) > maxListWait || confirmed.After(p.LongEnd)
@@ -80,7 +81,8 @@
 		g.listWait.use()
 		return true
 	}
-	if g.listWait.isOver(confirmed, p) {
+	wasOld := p.Start.Sub(confirmed) > g.maxListAge()
+	if isReadSince && wasOld || g.listWait.isOver(confirmed, p) {
 		return true
 	}
 	g.follower.listOutdated()
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -49,10 +49,11 @@
 type Pauses struct {
 	// Now is the present time.
 	Now time.Time
-	// End is the end of the last pause, and LongEnd that of the last one of at least
-	// Monitor.Long; the zero time if there was none. Shorter pauses often follow a long
-	// one, as the process has work to catch up.
-	End, LongEnd time.Time
+	// Start and End are those of the last pause, together with the pauses that ended less
+	// than 5 s before it, and LongEnd is the end of the last one that took at least
+	// Monitor.Long by itself; the zero time if there was none. Shorter pauses often follow
+	// a long one, as the process has work to catch up.
+	Start, End, LongEnd time.Time
 	// Total is the length of all pauses together.
 	Total time.Duration
 }
@@ -106,7 +107,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.update()
-	return Pauses{Now: now, End: m.pauseEnd, LongEnd: m.longEnd, Total: m.total}
+	return Pauses{Now: now, Start: m.pauseStart, End: m.pauseEnd, LongEnd: m.longEnd, Total: m.total}
 }
 
 // Earliest returns the earliest time of an event that the process began to wait for at
