--- a/review/4/main.go
+++ b/review/4/main.go
@@ -18,17 +18,19 @@
 const (
 	// usualEvents and usualPause make the usual answer, longEvents and longPause the long one.
 	usualEvents, usualPause = 12, 20 * time.Millisecond
-	longEvents, longPause   = 60, 75 * time.Millisecond
-	// connectAfter is when the client connects after the SIGTERM; the platform has asked the
-	// gateway once at most by then. headerTime is how long its headers take; headerTimeoutMs is
-	// 3,000.
-	connectAfter = 900 * time.Millisecond
-	headerTime   = 2700 * time.Millisecond
+	longEvents, longPause   = 60, 80 * time.Millisecond
+	// gap is the time between the SIGTERMs of two gateways of a zone.
+	gap = 1300 * time.Millisecond
+	// connectAfter is when the client connects after the SIGTERM of its gateway, and headerTime how
+	// long it takes until it has sent its headers; headerTimeoutMs is 3,000. By then one of three
+	// gateways of the zone is in rotation, so that the platform uses all of them.
+	connectAfter = 2450 * time.Millisecond
+	headerTime   = 650 * time.Millisecond
 )
 
 func main() {
 	f := harness.NewFleet("review/4")
-	gateways := f.AddGateways("tanta", "mansoura")
+	gateways := f.AddGateways("tanta", "tanta", "tanta", "mansoura")
 	origin, _ := f.Serve(f.IP()+":0", harness.NewOrigin())
 	var engines []*harness.Replica
 	for i, zone := range []string{"tanta", "mansoura"} {
@@ -56,11 +58,16 @@
 		time.Sleep(40 * time.Millisecond)
 	}
 	wait.Wait()
-	term := time.Now()
-	if harness.Trouble() {
-		f.Record.Printf("SIGTERM to %s", gateways[0].Name)
-		gateways[0].Signal(syscall.SIGTERM)
+	stop := func(g *harness.Gateway) {
+		if harness.Trouble() {
+			f.Record.Printf("SIGTERM to %s", g.Name)
+			g.Signal(syscall.SIGTERM)
+		}
 	}
+	stop(gateways[1])
+	time.Sleep(gap)
+	term := time.Now()
+	stop(gateways[0])
 	time.Sleep(connectAfter)
 	var answers []harness.Answer
 	var mu sync.Mutex
--- a/review/harness/caller.go
+++ b/review/harness/caller.go
@@ -38,8 +38,8 @@
 // Host is the host of all routes.
 const Host = "hulo84.example"
 
-// Ask opens a connection, waits for the given time before it sends the request, as a client whose
-// headers take that long, and reads the answer. The time is below the limit headerTimeoutMs.
+// Ask opens a connection, waits for the given time before it sends the request, which is below the
+// limit headerTimeoutMs, and reads the answer.
 func (c *Caller) Ask(method, path, id string, deadline, hold time.Duration) Answer {
 	a := Answer{ID: id}
 	conn, err := net.DialTimeout("tcp4", c.Front.String(), time.Second)
@@ -57,10 +57,8 @@
 		head += "Content-Length: 4\r\n"
 	}
 	if hold > 0 {
-		c.Record.Printf("client: connects for %s and sends the first part of its headers", id)
-		_, _ = io.WriteString(conn, head[:20])
+		c.Record.Printf("client: has a connection for %s", id)
 		time.Sleep(hold)
-		head = head[20:]
 	}
 	head += "\r\n"
 	if method == http.MethodPost {
