review: case 5: a heartbeat that the store does late brings back a replica that left (DRAIN)

Claimed: gateways send requests to a replica 3.6 s after the store acknowledged that its entry is gone, because a heartbeat that the replica sent before was done late by the store (platform_lost, late) and the field sequence of entries isn't compared.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/case5 ] || exit 2
+export TROUBLE="${TROUBLE:-1}"
+exec target/review/case5
--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -82,8 +82,13 @@
 }
 
 // Beat writes the replica's entry.
-func (r *Replica) Beat() {
+func (r *Replica) Beat() { r.LateBeat()() }
+
+// LateBeat sends the replica's entry as it is now. The store does the write when the returned
+// function is called.
+func (r *Replica) LateBeat() (write func()) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.sequence++
 	e := map[string]any{
 		"service": r.Service, "address": r.Address, "zone": r.Zone, "version": "v1", "slots": r.Slots, "state": "ready",
@@ -93,8 +98,7 @@
 		e["stage"], e["models"] = "both", r.models()
 	}
 	id := r.ID
-	r.mu.Unlock()
-	r.Store.PutJSON("keyed.servers", id, e)
+	return func() { r.Store.PutJSON("keyed.servers", id, e) }
 }
 
 func (r *Replica) models() []map[string]any {
