--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,13 +1,11 @@
 //go:build review
 
-// Command case4 shows a stream that a planned stop of its gateway cuts, though it was sent later than the time for which the
-// rule excuses that.
+// Command case4 shows a gateway that goes on sending to a replica whose entry was removed.
 package main
 
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -16,88 +14,86 @@
 )
 
 const (
-	// usualEvents and usualPause make the usual answer, longEvents and longPause the long one.
-	usualEvents, usualPause = 12, 20 * time.Millisecond
-	longEvents, longPause   = 60, 80 * time.Millisecond
-	// gap is the time between the SIGTERMs of two gateways of a zone.
-	gap = 1300 * time.Millisecond
-	// connectAfter is when the client connects after the SIGTERM of its gateway, and headerTime how
-	// long it takes until it has sent its headers; headerTimeoutMs is 3,000. By then one of three
-	// gateways of the zone is in rotation, so that the platform uses all of them.
-	connectAfter = 2450 * time.Millisecond
-	headerTime   = 650 * time.Millisecond
+	// cutFor is how long gateway A is partitioned from the store.
+	cutFor = 5500 * time.Millisecond
+	// Gateway B loses power at killAfter and is back at startAfter, counted from the cut. The
+	// replica leaves between, at leaveAfter.
+	killAfter  = 500 * time.Millisecond
+	leaveAfter = 2000 * time.Millisecond
+	startAfter = 3500 * time.Millisecond
+	// sendAfter is when clients send to A: stableWindowMs after the cut and a little more.
+	sendAfter = 9 * time.Second
+	// exitAfter is when the replica that leaves exits.
+	exitAfter = 11 * time.Second
+	work      = 3 * time.Second
 )
 
 func main() {
 	f := harness.NewFleet("review/4")
-	gateways := f.AddGateways("tanta", "tanta", "tanta", "mansoura")
+	gateways := f.AddGateways("tanta", "tanta")
+	a, b := gateways[0], gateways[1]
 	origin, _ := f.Serve(f.IP()+":0", harness.NewOrigin())
-	var engines []*harness.Replica
-	for i, zone := range []string{"tanta", "mansoura"} {
-		r := &harness.Replica{
-			ID: fmt.Sprintf("i-%d", i+1), Service: "assistant", Zone: zone, Model: "m0", Slots: 16, Warm: 300 * time.Millisecond,
-			Events: func(id string) (int, time.Duration) {
-				if strings.HasPrefix(id, "long") {
-					return longEvents, longPause
-				}
-				return usualEvents, usualPause
-			},
-		}
-		f.AddAgent(r, f.AddReplica(r, 1))
-		engines = append(engines, r)
+	var replicas []*harness.Replica
+	for i, zone := range []string{"tanta", "mansoura", "damanhur"} {
+		r := &harness.Replica{ID: fmt.Sprintf("b-%d", i+1), Service: "booking", Zone: zone, Slots: 6, Work: func(string) time.Duration { return work }}
+		f.AddReplica(r, 0)
+		replicas = append(replicas, r)
 	}
 	f.Configure(harness.EngineConfig(1, origin))
 	for _, g := range gateways {
 		g.AwaitReady(10 * time.Second)
 	}
 	time.Sleep(4 * time.Second)
-	c := f.Caller(gateways[0])
-	var wait sync.WaitGroup
-	for i := range 100 {
-		wait.Go(func() { c.Ask(http.MethodPost, "/lease/x", fmt.Sprintf("usual-%d", i), 6*time.Second, 0) })
-		time.Sleep(40 * time.Millisecond)
+	cut := time.Now()
+	at := func(d time.Duration) { time.Sleep(time.Until(cut.Add(d))) }
+	if harness.Trouble() {
+		f.Record.Printf("%s is partitioned from the store", a.Name)
+		a.Door.Cut.Store(true)
 	}
-	wait.Wait()
-	stop := func(g *harness.Gateway) {
-		if harness.Trouble() {
-			f.Record.Printf("SIGTERM to %s", g.Name)
-			g.Signal(syscall.SIGTERM)
-		}
+	at(killAfter)
+	if harness.Trouble() {
+		f.Record.Printf("%s loses power", b.Name)
+		b.Signal(syscall.SIGKILL)
+		b.Wait()
+	}
+	at(leaveAfter)
+	replicas[0].Leave()
+	left := time.Now()
+	f.Record.Printf("b-1 leaves: its entry is removed")
+	at(startAfter)
+	if harness.Trouble() {
+		b.Start()
+		f.Record.Printf("%s starts again", b.Name)
 	}
-	stop(gateways[1])
-	time.Sleep(gap)
-	term := time.Now()
-	stop(gateways[0])
-	time.Sleep(connectAfter)
-	var answers []harness.Answer
+	at(cutFor)
+	a.Door.Cut.Store(false)
+	f.Record.Printf("the partition ends")
+	at(sendAfter)
+	c := f.Caller(a)
+	var wait sync.WaitGroup
 	var mu sync.Mutex
-	for i := range 3 {
+	failed := 0
+	for i := range 8 {
 		wait.Go(func() {
-			a := c.Ask(http.MethodPost, "/lease/x", fmt.Sprintf("long-%d", i+1), 6*time.Second, headerTime)
+			x := c.Ask(http.MethodPost, "/deposit/x", fmt.Sprintf("d-%d", i+1), 6*time.Second, 0)
 			mu.Lock()
 			defer mu.Unlock()
-			answers = append(answers, a)
+			if !x.IsWhole() {
+				failed++
+			}
 		})
 	}
+	at(exitAfter)
+	f.Record.Printf("b-1 exits")
+	replicas[0].Exit()
 	wait.Wait()
-	lost := 0
-	for _, a := range answers {
-		passedOn := false
-		for _, r := range engines {
-			for _, x := range r.Runs() {
-				passedOn = passedOn || x.ID == a.ID
-			}
-		}
-		sent, ended := a.Sent.Sub(term), a.Ended.Sub(term)
-		isPlanned := ended < (harness.GraceS+1)*time.Second
-		isExcused := sent <= 3*time.Second || a.Ended.Sub(a.Sent) >= 6*time.Second
-		incomplete := a.Status == 0 || a.Err != nil
-		if passedOn && incomplete && isPlanned && !isExcused {
-			lost++
-			f.Record.Printf("LOST: %s was sent %d ms after the SIGTERM and passed on to a replica; its connection ended %d ms after the SIGTERM, "+
-				"%d ms after it was sent, without a complete answer (status %d, %d of %d events, %v)",
-				a.ID, sent.Milliseconds(), ended.Milliseconds(), (ended - sent).Milliseconds(), a.Status, strings.Count(a.Body, "data:"), longEvents, a.Err)
+	late := 0
+	for _, x := range replicas[0].Runs() {
+		if x.Arrived.Sub(left) > harness.DrainMS*time.Millisecond {
+			late++
+			f.Record.Printf("DRAIN: %s reached b-1 %d ms after its entry was removed; its answer was whole: %t", x.ID, x.Arrived.Sub(left).Milliseconds(), x.Ended)
 		}
 	}
-	f.Record.Finish(lost > 0, "%d of %d requests were passed on and ended without a complete answer", lost, len(answers))
+	f.Record.Finish(late > 0, "%d of 8 requests reached a replica later than %d ms after its entry was removed; %d requests weren't served",
+		late, harness.DrainMS, failed)
 }
