loader: a lost answer of the engine doesn't leave it out for good (RECOVER)

What callers saw: after a loss of power an engine accepted the order of its agent and the answer was lost while the connection stayed open.

Cause: Replica.Start was called with the context of the process, so the call never ended. The load step kept the lock on the staged pieces, and the report of the engine kept saying that it is closed. Stage, Staged and Held had the same fault: with one lost answer the version was never fetched or never loaded.

An order without an answer counts as accepted, as before, and the report tells when it is loaded. restoreStaged ends at the first read without an answer; the next step goes on there.

Related paths, read: Reporter.Read, the manifests, digests and pieces have deadlines; so have the orders, warm-up and reads of the relayed way (activator).

--- a/loader/early.go
+++ b/loader/early.go
@@ -59,7 +59,7 @@
 	if !ok {
 		return false, nil
 	}
-	if err := l.Replica.Stage(ctx, model, i, b); err != nil {
+	if err := l.replica().stage(ctx, model, i, b); err != nil {
 		return false, fail("stage piece "+strconv.Itoa(i)+" early", classifier.Of(err), err)
 	}
 	return true, nil
--- a/loader/fixture_test.go
+++ b/loader/fixture_test.go
@@ -180,6 +180,7 @@
 	offset uint64
 	mu     sync.Mutex
 	closed bool
+	last   dispatcher.Report
 }
 
 // repeats holds the retry mode of the route in each configuration that a test puts.
@@ -228,6 +229,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.closed = f.closed || r.Closed
+	f.last = r
+}
+
+func (f *fixture) lastReport() dispatcher.Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.last
 }
 
 func (f *fixture) isClosed() bool {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -197,6 +197,8 @@
 	return !slices.ContainsFunc(m.Chunks, func(d recorder.Digest) bool { return !l.Store.Has(d) })
 }
 
+func (l *Loader) replica() replica { return replica{l.Replica} }
+
 func fail(op string, k classifier.Kind, err error) error { return &Error{Op: op, Kind: k, Err: err} }
 
 // stage stages all pieces at the engine and reads them back until all are right. It returns
@@ -206,7 +208,7 @@
 	for range maxStageAttempts {
 		began, wrong := timekeeper.Now(), 0
 		for i, d := range m.Chunks {
-			if b, err := l.Replica.Staged(ctx, model, i); err == nil && recorder.DigestOf(b) == d {
+			if b, err := l.replica().staged(ctx, model, i); err == nil && recorder.DigestOf(b) == d {
 				continue
 			}
 			wrong++
@@ -214,7 +216,7 @@
 			if !ok {
 				return time.Time{}, fail("stage", classifier.Unavailable, errors.Newf("piece %d is not in the store", i))
 			}
-			if err := l.Replica.Stage(ctx, model, i, b); err != nil {
+			if err := l.replica().stage(ctx, model, i, b); err != nil {
 				return time.Time{}, fail("stage piece "+strconv.Itoa(i), classifier.Of(err), err)
 			}
 		}
@@ -296,7 +298,7 @@
 		return time.Time{}, state, fail("order", classifier.Unavailable, errors.New("the engine doesn't answer"))
 	}
 	began := time.Now()
-	err = l.Replica.Start(ctx, e.Model, version, state.Orders, cut)
+	err = l.replica().start(ctx, e.Model, version, state.Orders, cut)
 	l.Log.Info().Int64("version", version).Int64("orders", state.Orders).Bool("cut", cut).AnErr("refusal", err).Msg("load-ordered")
 	if classifier.Of(err) == classifier.OutcomeUnknown {
 		err = nil
--- a/loader/spread.go
+++ b/loader/spread.go
@@ -251,7 +251,8 @@
 }
 
 // restoreStaged reads staged pieces into the store, from which peers can fetch them. It
-// skips pieces that are missing or corrupt.
+// skips pieces that are missing or corrupt. It ends at the first read without an answer; the
+// next call goes on with that piece.
 func (l *Loader) restoreStaged(ctx context.Context, model string, m *manifest) error {
 	var held []int
 	for i, d := range m.Chunks {
@@ -259,7 +260,7 @@
 			continue
 		}
 		if held == nil {
-			h, err := l.Replica.Held(ctx, model)
+			h, err := l.replica().held(ctx, model)
 			if err != nil {
 				return fail("list staged pieces", classifier.Of(err), err)
 			}
@@ -273,7 +274,11 @@
 		if held[i] == 0 {
 			continue
 		}
-		if b, err := l.Replica.Staged(ctx, model, i); err == nil && recorder.DigestOf(b) == d {
+		b, err := l.replica().staged(ctx, model, i)
+		if classifier.Of(err) == classifier.OutcomeUnknown {
+			return fail("read staged piece "+strconv.Itoa(i), classifier.OutcomeUnknown, err)
+		}
+		if err == nil && recorder.DigestOf(b) == d {
 			if err := l.Store.Put(d, b); err != nil {
 				return err
 			}
