observer: news of a replica has an order of its own, whatever the log's is (DRAIN)

Cause: the platform may execute a heartbeat seconds later, and it then has the highest offset. The table took it for the newest news of its key, as the entry's sequence was dropped.

Change: a record of the endpoint list has a stamp (start, sequence). observer.Table leaves out a record that was written before the newest one of its key, or no later than that if the key is deleted, for as long as a write may be late. Deletions carry the stamp to peers. Entries of other writers have none.

--- a/connector/table.go
+++ b/connector/table.go
@@ -13,6 +13,9 @@
 	Value []byte `json:"value,omitempty"`
 	// Offset increases with each record of the table.
 	Offset uint64 `json:"offset"`
+	// Stamp is the newest known stamp of the records of a deleted key; nil if none is known,
+	// and in an item with a value, which has its own.
+	Stamp *Stamp `json:"stamp,omitempty"`
 }
 
 // Changes is the result of a read of a table.
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -86,10 +86,26 @@
 			Decode: p.DecodeOperator, DecodeEndpoint: p.EndpointDecoder(regions), DecodeGateway: p.DecodeGateway, Now: timekeeper.Now, Log: log,
 		},
 	}
+	f.endpoints.Stamp = f.entryStamp
+	f.endpoints.Outdated = f.logOutdated
 	f.outline = &observer.View{Table: &f.operators, Shorten: p.Outline}
 	return f
 }
 
+// entryStamp returns the stamp of an entry of the endpoint list. An entry that describes no
+// endpoint has none, as another writer may have written it.
+func (f *follower) entryStamp(key string, value []byte) (connector.Stamp, bool) {
+	e, err := f.state.DecodeEndpoint(key, value)
+	if err != nil || e.Started.IsZero() {
+		return connector.Stamp{}, false
+	}
+	return connector.Stamp{Started: e.Started, Sequence: e.Sequence}, true
+}
+
+func (f *follower) logOutdated(i connector.Item) {
+	f.log.Info().Str("endpoint", i.Key).Uint64("offset", i.Offset).Msg("endpoint-entry-outdated")
+}
+
 func (f *follower) handler() *observer.Handler {
 	return &observer.Handler{Tables: f.all(), Views: map[string]*observer.View{outlineView: f.outline}}
 }
--- a/observer/state.go
+++ b/observer/state.go
@@ -31,10 +31,12 @@
 	// ID changes with most restarts, Started with every restart.
 	ID      string
 	Started time.Time
-	Service string
-	Address netip.AddrPort
-	Domain  string
-	Region  string
+	// Sequence increases with each entry that the process writes.
+	Sequence int64
+	Service  string
+	Address  netip.AddrPort
+	Domain   string
+	Region   string
 	// Draining reports whether the endpoint gets no new requests.
 	Draining bool
 	// Slots is the number of requests that the endpoint runs concurrently; 0 if unknown.
--- a/observer/table.go
+++ b/observer/table.go
@@ -8,13 +8,29 @@
 	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 )
 
-// Table is the replica of one keyed table. The zero value is empty and ready to use.
-// All methods may be called concurrently.
+// maxWriteDelay exceeds the time after which the platform executes a write that it didn't
+// answer. Beyond it a record with an older stamp is that of a process whose clock was set back.
+const maxWriteDelay = 30 * time.Second
+
+// Table is the replica of one keyed table. The zero value is empty and ready to use. Its
+// exported fields are set before the first call. All methods may be called concurrently.
+//
+// The records of a key are ordered by their offsets, and where they have stamps by these: a
+// record that was written before the newest one of its key, or before the key was deleted, is
+// outdated whatever its offset is.
 type Table struct {
+	// Stamp returns the stamp of a record; false if it has none. Nil means that no record has.
+	Stamp func(key string, value []byte) (connector.Stamp, bool)
+	// Outdated is called with each record that is left out as outdated; it may be nil. The
+	// table is locked meanwhile.
+	Outdated func(connector.Item)
+
 	mu sync.Mutex
 	// items also holds deleted keys, as items without a value, so that an older record
 	// can't restore them.
 	items map[string]connector.Item
+	// stamps holds the newest stamp of each key that has one, also of deleted keys.
+	stamps map[string]newestStamp
 	// dates holds for each key a time before which its item was not written; it lacks the
 	// keys of items whose date isn't known.
 	dates map[string]time.Time
@@ -46,8 +62,8 @@
 	present := make(map[string]bool, len(c.Items))
 	for _, i := range c.Items {
 		present[i.Key] = true
-		if old, ok := t.items[i.Key]; !ok || i.Offset > old.Offset {
-			t.items[i.Key] = i
+		if t.isFresh(i, arrived) {
+			t.items[i.Key] = connector.Item{Key: i.Key, Value: i.Value, Offset: i.Offset}
 			fresh = append(fresh, i)
 		}
 	}
@@ -56,6 +72,7 @@
 			if old.Value != nil && !present[k] && old.Offset < c.Next {
 				d := connector.Item{Key: k, Offset: c.Next - 1}
 				t.items[k] = d
+				t.renewStamp(k, arrived)
 				fresh = append(fresh, d)
 			}
 		}
@@ -109,11 +126,15 @@
 	c := connector.Changes{Next: t.next, Age: now.Sub(t.confirmed)}
 	oldest := now
 	for _, i := range t.items {
-		if i.Offset >= from {
-			c.Items = append(c.Items, i)
-			if d := t.dates[i.Key]; d.Before(oldest) {
-				oldest = d
-			}
+		if i.Offset < from {
+			continue
+		}
+		if s, ok := t.stamps[i.Key]; ok && i.Value == nil {
+			i.Stamp = &s.Stamp
+		}
+		c.Items = append(c.Items, i)
+		if d := t.dates[i.Key]; d.Before(oldest) {
+			oldest = d
 		}
 	}
 	if !oldest.IsZero() {
