observer: a reader that is behind a peer's start gets the whole table (DRAIN)

Cause: the gateway read the list from a peer that had started after the removal. Such a peer has read the whole table and knows no deleted keys, but its answer counted as all changes since the reader's offset, so the deletion was skipped for good.

Change: a table notes the offset from which on it has each deletion; Since returns the whole table, with Full set, to a reader that asks from before it. The same holds after a gap in which records expired.

--- a/observer/table.go
+++ b/observer/table.go
@@ -31,6 +31,9 @@
 	items map[string]connector.Item
 	// stamps holds the newest stamp of each key that has one, also of deleted keys.
 	stamps map[string]newestStamp
+	// deletionsFrom is the offset from which each deleted key has an item. Keys that were
+	// deleted before a read of the whole table are unknown to it.
+	deletionsFrom uint64
 	// dates holds for each key a time before which its item was not written; it lacks the
 	// keys of items whose date isn't known.
 	dates map[string]time.Time
@@ -67,6 +70,9 @@
 			fresh = append(fresh, i)
 		}
 	}
+	if t.next == 0 || c.Full && c.Next > t.next {
+		t.deletionsFrom = c.Next
+	}
 	if c.Full && c.Next > 0 {
 		for k, old := range t.items {
 			if old.Value != nil && !present[k] && old.Offset < c.Next {
@@ -118,22 +124,23 @@
 	return t.confirmed
 }
 
-// Since returns the items whose offset is from or higher; all items if from is 0.
+// Since returns the items whose offset is from or higher. It returns the whole table if from is
+// 0, or if keys that aren't known may have been deleted since from.
 func (t *Table) Since(from uint64) connector.Changes {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := timekeeper.Now()
-	c := connector.Changes{Next: t.next, Age: now.Sub(t.confirmed)}
+	c := connector.Changes{Next: t.next, Age: now.Sub(t.confirmed), Full: from < t.deletionsFrom}
 	oldest := now
 	for _, i := range t.items {
-		if i.Offset < from {
+		if i.Offset < from && !c.Full {
 			continue
 		}
 		if s, ok := t.stamps[i.Key]; ok && i.Value == nil {
 			i.Stamp = &s.Stamp
 		}
 		c.Items = append(c.Items, i)
-		if d := t.dates[i.Key]; d.Before(oldest) {
+		if d := t.dates[i.Key]; i.Offset >= from && d.Before(oldest) {
 			oldest = d
 		}
 	}
