direct: a gateway writes its record again when the table lacks it

Cause: the record was written once at the start. The store may execute the removal of a planned stop seconds later, after the gateway has started again; agents then sent it no reports for good. Same class as the late heartbeat: a write done late that was taken for news.

Change: the gateway writes the record again when a read of the gateway table lacks it, until it stops.

Test: TestWholePathLateRemovalOfRecord failed before (no record within 5 s).

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -68,6 +68,10 @@
 	earliest func(from time.Time) time.Time
 	// changed is called after each change of the state; it may be nil.
 	changed func()
+	// name is the key of this gateway's record; empty at an agent. recordMissing has a value
+	// once a read of the gateway table lacked the record.
+	name          string
+	recordMissing chan struct{}
 	// outdated wakes the reader of the endpoint list.
 	outdated chan struct{}
 	log      zerolog.Logger
@@ -81,7 +85,7 @@
 func newFollower(p *Platform, store, self netip.AddrPort, domain string, regions map[string]string, log zerolog.Logger) *follower {
 	c := newClient()
 	f := &follower{
-		tables: p.Tables(store, c), outdated: make(chan struct{}, 1), client: c, self: self, domain: domain, regions: regions, log: log,
+		tables: p.Tables(store, c), outdated: make(chan struct{}, 1), recordMissing: make(chan struct{}, 1), client: c, self: self, domain: domain, regions: regions, log: log,
 		state: &observer.State{
 			Decode: p.DecodeOperator, DecodeEndpoint: p.EndpointDecoder(regions), DecodeGateway: p.DecodeGateway, Now: timekeeper.Now, Log: log,
 		},
@@ -216,7 +220,10 @@
 	gateways := &observer.Follower{
 		Name: gatewayTable, Table: &f.gateways, Sources: f.sources(gatewayTable, f.tables.Gateways, agent),
 		Wait: gatewayWait, Pace: gatewayInterval, Log: f.log,
-		Changed: func(u observer.Update) { f.state.ApplyGateways(u.Fresh) },
+		Changed: func(u observer.Update) {
+			f.state.ApplyGateways(u.Fresh)
+			f.checkRecord()
+		},
 	}
 	if !agent {
 		interval := time.Duration(float64(f.drain) * listIntervalShare)
@@ -260,6 +267,20 @@
 	return time.Time{}
 }
 
+// checkRecord signals that the gateway table lacks the record of this gateway.
+func (f *follower) checkRecord() {
+	if f.name == "" || f.hasRecord() {
+		return
+	}
+	select {
+	case f.recordMissing <- struct{}{}:
+	default:
+	}
+}
+
+// hasRecord reports whether the gateway table has the record of this gateway.
+func (f *follower) hasRecord() bool { return slices.Contains(f.state.GatewayNames(), f.name) }
+
 // listOutdated makes the follower read the endpoint list soon.
 func (f *follower) listOutdated() {
 	select {
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -141,6 +141,7 @@
 	}
 	g.callers.Most = most
 	g.follower = newFollower(g.Platform, g.Store, g.Peers, g.Domain, g.Regions, g.Log)
+	g.follower.name = g.Name
 	g.follower.drain, g.follower.seeds = g.Drain, g.Seeds
 	g.monitor.Limit, g.monitor.Long = maxBeatInterval, minListPause
 	g.monitor.Beat()
@@ -249,21 +250,36 @@
 	return nil
 }
 
-// announce writes the gateway record, and retries until the store accepts it.
+// announce keeps the gateway record in the store until the gateway stops. The removal of the
+// record at a planned stop may be executed after the gateway has started again and written it.
 func (g *Gateway) announce(ctx context.Context) error {
 	b, err := json.Marshal(observer.Gateway{Name: g.Name, Domain: g.Domain, Address: g.Peers})
 	if err != nil {
 		return errors.Wrap(err, "encode gateway record")
 	}
 	for ctx.Err() == nil && !g.stopping.Load() {
-		if err := g.writeRecord(ctx, b); err == nil {
-			return nil
+		if g.writeRecord(ctx, b) == nil {
+			g.awaitRecordMissing(ctx)
 		}
 		_ = sleeper.Sleep(ctx, announceRetryInterval)
 	}
 	return nil
 }
 
+// awaitRecordMissing waits until the gateway table lacks the record, also after the time in
+// which a read that began before the last write ends.
+func (g *Gateway) awaitRecordMissing(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-g.follower.recordMissing:
+		}
+		if sleeper.Sleep(ctx, announceRetryInterval) == nil && !g.follower.hasRecord() {
+			return
+		}
+	}
+}
+
 // writeRecord puts the gateway record, or removes it if b is nil.
 func (g *Gateway) writeRecord(ctx context.Context, b []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
