--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -9,6 +9,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/stopper"
+	"github.com/eelgrassdrift/eelgrassdrift/resolver"
 )
 
 const (
@@ -42,6 +43,7 @@
 func (c *call) endsInTime() bool {
 	return c.handler.stopper.EndsInTime(stopper.Request{
 		Name: c.match.Route.Name, Begun: c.start, Deadline: c.deadline, AtMostOnce: c.isAtMostOnce(), Started: c.isStarted(),
+		Stream: c.match.Route.Repeat == resolver.Resumable,
 	})
 }
 
--- a/internal/stopper/stopper_test.go
+++ b/internal/stopper/stopper_test.go
@@ -22,6 +22,12 @@
 		r.Started = true
 		return r
 	}
+	stream := func(after time.Duration) func(Request) Request {
+		return func(r Request) Request {
+			r.Stream, r.Begun, r.Deadline = true, r.Begun.Add(after), r.Deadline.Add(after)
+			return r
+		}
+	}
 	for _, c := range []struct {
 		name string
 		// usual is the time of the requests before; 0 if there were none.
@@ -39,6 +45,9 @@
 		{"once only", 100 * time.Millisecond, 3 * time.Second, once, false},
 		{"once only, surely in time", 100 * time.Millisecond, 5 * time.Second, once, true},
 		{"stream that has begun", 1200 * time.Millisecond, time.Second, started, true},
+		{"stream soon after the order", 100 * time.Millisecond, 5 * time.Second, stream(2 * time.Second), true},
+		{"late stream", 100 * time.Millisecond, 5 * time.Second, stream(3 * time.Second), false},
+		{"late stream, surely in time", 100 * time.Millisecond, 8 * time.Second, stream(3 * time.Second), true},
 		{"stream after the cut", 100 * time.Millisecond, -time.Second, started, false},
 	} {
 		var s Stopper
