forwarder, platform: what faulty servers send without end is bounded for all calls together (LOST)

What was reported: a faulty replica sent bytes without end and the machine that had called it ran out of memory. Here a gateway kept up to 1 MiB of an unfinished event for each stream, uncounted, and an agent of 152 MB read up to 16 MiB of each answer, 32 MiB of a peer's table and 10 MiB of headers.

Change: events over 32 KiB count with the bodies of a gateway (64 MiB together). Each call of platform has a limit of its own (256 KiB for a replica's state, a piece's size, 4 MiB for the store and manifests), a longer answer is an error; a peer's table has 8 MiB, headers 64 KiB at all clients.

--- a/connector/table.go
+++ b/connector/table.go
@@ -52,9 +52,9 @@
 type Replica struct {
 	// Report returns the state of the engine.
 	Report func(ctx context.Context) (ReplicaReport, error)
-	// Staged returns a staged piece. The error is of kind NotFound if the piece
-	// is not staged.
-	Staged func(ctx context.Context, model string, piece int) ([]byte, error)
+	// Staged returns a staged piece of at most size bytes. The error is of kind NotFound if the
+	// piece is not staged.
+	Staged func(ctx context.Context, model string, piece int, size int64) ([]byte, error)
 	// Held returns the numbers of the staged pieces.
 	Held func(ctx context.Context, model string) ([]int, error)
 	// Stage uploads a piece; it replaces an earlier one with the same number.
--- a/distributor/client.go
+++ b/distributor/client.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 )
 
 // Headers of the requests and replies between peers.
@@ -35,13 +37,14 @@
 func NewClient(c *tls.Config) *http.Client {
 	d := net.Dialer{Timeout: time.Second, KeepAlive: 5 * time.Second}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         d.DialContext,
-		TLSClientConfig:     c,
-		TLSHandshakeTimeout: 2 * time.Second,
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     10 * time.Second,
-		DisableCompression:  true,
-		ReadBufferSize:      4 << 10,
-		WriteBufferSize:     4 << 10,
+		DialContext:            d.DialContext,
+		TLSClientConfig:        c,
+		TLSHandshakeTimeout:    2 * time.Second,
+		MaxIdleConnsPerHost:    4,
+		IdleConnTimeout:        10 * time.Second,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: header.MaxResponseBytes,
+		ReadBufferSize:         4 << 10,
+		WriteBufferSize:        4 << 10,
 	}}
 }
--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -19,11 +20,11 @@
 // counts the bytes of begin and of the parts written.
 func (b *fakeEndpoint) flood(c net.Conn, begin, part string) {
 	n, err := io.WriteString(c, begin)
-	part = strings.Repeat(part, 1+(32<<10)/len(part))
+	parts := []byte(strings.Repeat(part, 1+(32<<10)/len(part)))
 	for err == nil {
 		b.floodedBytes.Add(int64(n))
 		time.Sleep(time.Millisecond)
-		n, err = io.WriteString(c, part)
+		n, err = c.Write(parts)
 	}
 }
 
@@ -126,6 +127,51 @@
 	}
 }
 
+// Guards against unfinished events of many streams that fill the memory of a gateway: each may
+// have a megabyte, and a gateway may carry hundreds (processes that end by themselves, LOST).
+func TestEndlessEventsTogether(t *testing.T) {
+	const (
+		callers = 400
+		// streamBytes is what a stream may take beside the event.
+		streamBytes = 128 << 10
+	)
+	f, all := newHandler(t, callers/4)
+	for _, b := range all {
+		b.script = &script{steps: slicesOf("endless-event", 2*callers)}
+	}
+	s := httptest.NewServer(f)
+	defer s.Close()
+	before := liveBytes()
+	results := make(chan string, callers)
+	for range callers {
+		go func() { results <- sendRequest(s.URL, "resume") }()
+	}
+	most := uint64(0)
+	for n := 0; n < callers; {
+		select {
+		case <-results:
+			n++
+		default:
+			most = max(most, liveBytes())
+		}
+	}
+	// Buffers that were replaced while the memory was counted are in the figure.
+	if limit := before + 2*forwarder.MaxBufferedBytes + callers*streamBytes; most > limit {
+		t.Errorf("%d MiB of memory are in use, want at most %d", most>>20, limit>>20)
+	}
+	if n := f.BufferedBytes(); n != 0 {
+		t.Errorf("%d bytes are still reserved after the last response", n)
+	}
+}
+
+// liveBytes returns the size of the memory in use, without garbage.
+func liveBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
 func slicesOf(s string, n int) []string {
 	l := make([]string, n)
 	for i := range l {
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -23,11 +23,12 @@
 // discarded, so that the stream can be resumed after the previous one.
 func (a *attempt) copyEvents() attemptResult {
 	e := eventCopier{
-		attempt: a, order: a.streamOrder(), lines: bufio.NewReaderSize(a.response.Body, bufferSize),
+		attempt: a, order: a.streamOrder(), event: eventBuffer{buffers: &a.call.handler.buffers}, lines: bufio.NewReaderSize(a.response.Body, bufferSize),
 		due: time.Now().Add(a.eventTimeout()),
 	}
 	a.conn.beforeRead = e.beforeRead
 	defer func() { a.conn.beforeRead = nil }()
+	defer e.event.reset()
 	for {
 		if v, ended := e.copyLine(); ended {
 			return v
@@ -40,7 +41,7 @@
 	attempt *attempt
 	order   *streamOrder
 	lines   *bufio.Reader
-	event   bytes.Buffer
+	event   eventBuffer
 	fields  eventFields
 	// due is the time at which the next event with data is due. Parts of an event and
 	// comments don't extend it, or a stalled endpoint could hold a stream until its deadline.
@@ -74,7 +75,7 @@
 	switch {
 	case e.flushErr != nil:
 		return a.lostCaller(e.flushErr), true
-	case errors.Is(err, io.EOF) && e.event.Len() == 0:
+	case errors.Is(err, io.EOF) && len(e.event.bytes) == 0:
 		return a.finishStream(e.order), true
 	case err != nil:
 		return e.fail(err)
@@ -90,7 +91,7 @@
 		return v, true
 	}
 	e.fields = eventFields{}
-	e.event.Reset()
+	e.event.reset()
 	return v, false
 }
 
@@ -115,7 +116,7 @@
 	case !e.fields.hasData && !a.claimAlone():
 		return v, false
 	}
-	if err := e.waitForCaller(func() error { return a.writeEvent(e.event.Bytes()) }); err != nil {
+	if err := e.waitForCaller(func() error { return a.writeEvent(e.event.bytes) }); err != nil {
 		return a.lostCaller(err), true
 	}
 	a.setProgress(e.fields.id)
@@ -126,26 +127,22 @@
 	return v, false
 }
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
-
 // readLine appends the next line to the event and returns it without its line end.
 // The error is io.EOF if the body ends between events.
-func readLine(lines *bufio.Reader, event *bytes.Buffer) ([]byte, error) {
-	start := event.Len()
+func readLine(lines *bufio.Reader, event *eventBuffer) ([]byte, error) {
+	start := len(event.bytes)
 	for {
 		b, err := lines.ReadSlice('\n')
-		event.Write(b)
-		if event.Len() > maxEventBytes {
-			return nil, errors.Newf("event exceeds %d bytes", maxEventBytes)
+		if err := event.write(b); err != nil {
+			return nil, err
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
-		if errors.Is(err, io.EOF) && event.Len() > 0 {
+		if errors.Is(err, io.EOF) && len(event.bytes) > 0 {
 			err = io.ErrUnexpectedEOF
 		}
-		return bytes.TrimRight(event.Bytes()[start:], "\r\n"), err
+		return bytes.TrimRight(event.bytes[start:], "\r\n"), err
 	}
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,6 +17,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/authenticator"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/follower"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/listener"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/settings"
@@ -196,13 +197,15 @@
 func (a *Agent) prepare(ctx context.Context) (outer, local listening, err error) {
 	a.bootID = uuid.NewString()
 	a.replica = &follower.Replica{Log: a.Log}
-	platform := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+	platform := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: header.MaxResponseBytes}}
 	a.submit = &follower.Follower{Log: connector.NewLog(a.LogURL, platform), Replica: a.replica}
 	a.limit.Cold, a.limit.Max, a.limit.GrowEvery = a.Cold, a.Most, a.GrowEvery
 	a.limit.Changed = func(n int, reason string) {
 		a.Log.Info().Int("limit", n).Str("reason", reason).Msg("limit lowered")
 	}
-	a.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
+	a.client = &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 256, DisableCompression: true, MaxResponseHeaderBytes: header.MaxResponseBytes,
+	}}
 	t, err := a.TLS.Client()
 	if err != nil {
 		return outer, local, err
@@ -210,6 +213,7 @@
 	a.peers = &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 4, DisableCompression: true, TLSClientConfig: t,
 		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, IdleConnTimeout: 30 * time.Second,
+		MaxResponseHeaderBytes: header.MaxResponseBytes,
 	}}
 	s, err := a.TLS.Server(true)
 	if err != nil {
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -46,7 +46,7 @@
 }
 
 func newService(a *Agent) *service {
-	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: header.MaxResponseBytes}
 	return &service{agent: a, client: &http.Client{Transport: t}}
 }
 
@@ -146,7 +146,9 @@
 		}
 	}
 	g := &guarder.Guard{
-		Log:     connector.NewLog(a.LogURL, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}),
+		Log: connector.NewLog(a.LogURL, &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: header.MaxResponseBytes,
+		}}),
 		Service: a.service(), Instance: a.Instance, Address: a.address, BootID: a.bootID,
 		Window: s.declared().KeyWindow.Std(), Retention: a.LogRetention,
 		Client: a.peers, Scheme: a.scheme(), Logger: a.Log,
--- a/internal/direct/platform.go
+++ b/internal/direct/platform.go
@@ -9,6 +9,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 )
 
@@ -77,6 +78,6 @@
 	}}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleTimeout,
-		DisableCompression: true,
+		DisableCompression: true, MaxResponseHeaderBytes: header.MaxResponseBytes,
 	}}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/divider"
 	"github.com/eelgrassdrift/eelgrassdrift/follower"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/listener"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/settings"
@@ -201,7 +202,7 @@
 func (g *Gateway) prepare(l listeners) (*servers, error) {
 	g.bootID, g.started = uuid.NewString(), time.Now()
 	g.replica = &follower.Replica{Log: g.Log}
-	platform := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+	platform := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: header.MaxResponseBytes}}
 	g.follow = &follower.Follower{Log: connector.NewLog(g.LogURL, platform), Replica: g.replica}
 	g.list.client = connector.NewInstances(g.InstancesURL, platform)
 	g.picker.Table = &g.table
@@ -222,7 +223,7 @@
 	}
 	g.client = &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 256, DisableCompression: true, TLSClientConfig: t,
-		DialContext: g.dial,
+		DialContext: g.dial, MaxResponseHeaderBytes: header.MaxResponseBytes,
 	}}
 	if err := g.counters.make(g.Metrics.Meter); err != nil {
 		return nil, err
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -72,3 +72,7 @@
 	s := int64((d + time.Second - 1) / time.Second)
 	h.Set(RetryAfter, strconv.FormatInt(max(s, 1), 10))
 }
+
+// MaxResponseBytes limits the headers of a response at all clients. A faulty server may send
+// headers without end, to many calls at the same time.
+const MaxResponseBytes = 64 << 10
--- a/loader/fixture_test.go
+++ b/loader/fixture_test.go
@@ -70,7 +70,7 @@
 			}
 			return r, nil
 		},
-		Staged: func(_ context.Context, _ string, n int) ([]byte, error) {
+		Staged: func(_ context.Context, _ string, n int, _ int64) ([]byte, error) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			if e.beforeRead != nil {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -208,7 +208,7 @@
 	for range maxStageAttempts {
 		began, wrong := timekeeper.Now(), 0
 		for i, d := range m.Chunks {
-			if b, err := l.replica().staged(ctx, model, i); err == nil && recorder.DigestOf(b) == d {
+			if b, err := l.replica().staged(ctx, model, i, m.ChunkSize); err == nil && recorder.DigestOf(b) == d {
 				continue
 			}
 			wrong++
--- a/loader/lost_answer_test.go
+++ b/loader/lost_answer_test.go
@@ -36,8 +36,8 @@
 // wrap makes the calls of the replica lose their answers.
 func (l *lostAnswers) wrap(r *connector.Replica) {
 	inner := *r
-	r.Staged = func(ctx context.Context, model string, piece int) ([]byte, error) {
-		b, err := inner.Staged(ctx, model, piece)
+	r.Staged = func(ctx context.Context, model string, piece int, size int64) ([]byte, error) {
+		b, err := inner.Staged(ctx, model, piece, size)
 		if lost := l.await(ctx, "staged"); lost != nil {
 			return nil, lost
 		}
--- a/loader/replica.go
+++ b/loader/replica.go
@@ -15,11 +15,11 @@
 // executed; its error is then of kind OutcomeUnknown.
 type replica struct{ client *connector.Replica }
 
-// staged returns a staged piece.
-func (r replica) staged(ctx context.Context, model string, piece int) ([]byte, error) {
+// staged returns a staged piece of at most size bytes.
+func (r replica) staged(ctx context.Context, model string, piece int, size int64) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, replicaTimeout)
 	defer cancel()
-	return r.client.Staged(ctx, model, piece)
+	return r.client.Staged(ctx, model, piece, size)
 }
 
 // held returns the numbers of the staged pieces.
--- a/loader/spread.go
+++ b/loader/spread.go
@@ -274,7 +274,7 @@
 		if held[i] == 0 {
 			continue
 		}
-		b, err := l.replica().staged(ctx, model, i)
+		b, err := l.replica().staged(ctx, model, i, m.ChunkSize)
 		if classifier.Of(err) == classifier.OutcomeUnknown {
 			return fail("read staged piece "+strconv.Itoa(i), classifier.OutcomeUnknown, err)
 		}
--- a/observer/peers.go
+++ b/observer/peers.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	// maxResponseBytes bounds the response of a peer.
-	maxResponseBytes = 32 << 20
+	// maxResponseBytes bounds the response of a peer: the list of some 17,000 endpoints. A
+	// process reads three tables at the same time, and another program may have taken over the
+	// address of a peer.
+	maxResponseBytes = 8 << 20
 	// staleAge is the age of its data beyond which a peer that has no changes may itself
 	// be cut off from the platform. A read that waits for changes at the platform takes
 	// up to 2.7 s, so a lower age is normal.
