isolator: a gateway sends the endings that it saw itself

Each gateway also sent on what it had learned, so that datagrams grew with the square of the gateways. Now each ending is sent by the one that saw it, to all, for 0.2 s.

--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -256,7 +256,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
-	r := reportReceiver{Read: c.Read, Report: g.dispatcher.Report, Ending: g.front.Isolator.Add, Log: g.Log}
+	r := reportReceiver{Read: c.Read, Report: g.dispatcher.Report, Ending: g.front.Isolator.Learn, Log: g.Log}
 	r.run(ctx)
 	return nil
 }
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -20,7 +20,7 @@
 	// maxRequests is the number of requests that are remembered.
 	maxRequests = 2048
 	// newsTime is how long an ending is sent again and again, as datagrams may be lost.
-	newsTime = 500 * time.Millisecond
+	newsTime = 200 * time.Millisecond
 	// maxEndingsKept is the number of processes that are remembered for one request.
 	maxEndingsKept = 8
 	// reminderInterval is the interval at which the endings of held requests are sent to gateways
@@ -51,7 +51,8 @@
 	// endings holds the processes that ended, ordered by the time of their end. No process is in
 	// it twice, and it has at most maxEndingsKept of them; the oldest are forgotten.
 	endings []ending
-	// last is when the last ending was learned, and sentUntil the time until which all are news.
+	// last is when the last ending was learned, and sentUntil the time until which the own ones
+	// are news.
 	last, sentUntil time.Time
 	// holds is how often the request began to be held, heldUntil the end of the last time.
 	holds     int
@@ -65,6 +66,8 @@
 	process      string
 	began, ended time.Time
 	served       bool
+	// own reports whether this process saw it. Others send their own ones to all.
+	own bool
 }
 
 // count returns the number of endings, one after the other, since which the request wasn't
@@ -114,7 +117,12 @@
 
 // Add records that a process ended while it had the request. An ending that is known already
 // changes nothing, unless the request was served since.
-func (i *Isolator) Add(e Ending) {
+func (i *Isolator) Add(e Ending) { i.add(e, true) }
+
+// Learn does the same for an ending that another gateway saw.
+func (i *Isolator) Learn(e Ending) { i.add(e, false) }
+
+func (i *Isolator) add(e Ending, own bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.now()
@@ -126,13 +134,16 @@
 	n := slices.IndexFunc(r.endings, func(o ending) bool { return o.process == e.Process })
 	switch {
 	case n < 0:
-		r.add(ending{process: e.Process, began: now.Add(-e.Began), ended: now.Add(-e.Ended), served: e.Served})
+		r.add(ending{process: e.Process, began: now.Add(-e.Began), ended: now.Add(-e.Ended), served: e.Served, own: own})
 	case e.Served && !r.endings[n].served:
 		r.endings[n].served = true
 	default:
 		return
 	}
-	r.last, r.sentUntil = now, now.Add(newsTime)
+	r.last = now
+	if own {
+		r.sentUntil = now.Add(newsTime)
+	}
 	switch {
 	case r.count() < i.maxEndings():
 		r.heldUntil = time.Time{}
@@ -217,14 +228,14 @@
 		return
 	}
 	for n := range r.endings {
-		r.endings[n].served = true
+		r.endings[n].served, r.endings[n].own = true, true
 	}
 	now := i.now()
 	r.heldUntil, r.last, r.sentUntil = time.Time{}, now, now.Add(newsTime)
 }
 
-// News returns the messages for other gateways: the endings of the last half second, and at an
-// interval those of the requests that are held.
+// News returns the messages for all other gateways: what this process saw in the last moment, and
+// at an interval what it saw of the requests that are held.
 func (i *Isolator) News() []Message {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -244,7 +255,7 @@
 		}
 		for _, e := range r.endings {
 			began, ended := now.Sub(e.began), now.Sub(e.ended)
-			if began <= maxAge {
+			if e.own && began <= maxAge {
 				all = append(all, Ending{Digest: d, Process: e.process, Began: began, Ended: ended, Served: e.served})
 			}
 		}
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -52,6 +52,12 @@
 			g.gateway(f[1]).Add(isolator.Ending{Digest: digest(f[2]), Process: p, Began: time.Duration(10+n) * time.Millisecond})
 		}
 		return ""
+	case "count":
+		n := 0
+		for _, m := range g.gateway(f[1]).News() {
+			n += len(m.Endings)
+		}
+		return fmt.Sprintf("%s sends %d endings\n", f[1], n)
 	case "served":
 		g.gateway(f[1]).Served(digest(f[2]))
 		return ""
@@ -59,7 +65,7 @@
 		for _, m := range g.gateway(f[1]).News() {
 			for _, to := range f[2:] {
 				for _, e := range m.Endings {
-					g.gateway(to).Add(e)
+					g.gateway(to).Learn(e)
 				}
 			}
 		}
