--- a/isolator/message.go
+++ b/isolator/message.go
@@ -47,8 +47,9 @@
 }
 
 const (
-	// maxMessageEndings is the number of endings in one message, which fits into one datagram.
-	maxMessageEndings = 12
+	// maxMessageEndings is the number of endings in one message, which fits into one datagram that
+	// isn't fragmented.
+	maxMessageEndings = 8
 	// maxAge is the age of the oldest ending that is sent.
 	maxAge = time.Hour
 	// maxProcessBytes is the length of the longest name of a process.
@@ -71,7 +72,7 @@
 
 // Message holds endings for other gateways.
 type Message struct {
-	// Endings holds 1 to 12 endings.
+	// Endings holds 1 to 8 endings.
 	Endings []Ending `json:"endings"`
 }
 
