forwarder: a scripted test of what counts as an ending

Cause: what the forwarder takes for the end of a process was checked with real programs only, and the decision of the isolator without it. A change of either would have shown late.

No change of the product.

--- a/forwarder/handler_test.go
+++ b/forwarder/handler_test.go
@@ -187,6 +187,9 @@
 		out = head("503 Busy", id, "Content-Length: 3\r\n\r\nbad")
 	case "drop":
 		return false
+	case "end":
+		_ = b.Close()
+		return false
 	case "large":
 		out = head("200 OK", id, fmt.Sprintf("Content-Length: %d\r\n\r\n", largeBody)) + strings.Repeat("x", largeBody)
 	case "hold":
