--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -79,19 +79,23 @@
 
 // Guards against requests that end one endpoint after the other, and against sound ones that are
 // refused because they ran beside them.
-func TestIsolator(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			g := &gateways{t: t, now: time.Unix(1000, 0), all: make(map[string]*isolator.Isolator)}
-			var out strings.Builder
-			for line := range strings.Lines(d.Input) {
-				out.WriteString(g.run(line))
-			}
-			if out.Len() == 0 {
-				return "nothing\n"
-			}
-			return out.String()
-		})
+func TestIsolator(t *testing.T) { runScripts(t, "testdata/isolator") }
+
+// Guards against a sound request that is held because it ran three times beside one that is held:
+// each of its endpoints ended under the other one too.
+func TestBystanderOfHeldRequest(t *testing.T) { runScripts(t, "testdata/bystander") }
+
+func runScripts(t *testing.T, path string) {
+	datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+		g := &gateways{t: t, now: time.Unix(1000, 0), all: make(map[string]*isolator.Isolator)}
+		var out strings.Builder
+		for line := range strings.Lines(d.Input) {
+			out.WriteString(g.run(line))
+		}
+		if out.Len() == 0 {
+			return "nothing\n"
+		}
+		return out.String()
 	})
 }
 
