isolator: further endings never release a request that is held

Cause: each ending that was learned counted anew how many came one after the other. An ending that overlaps with others, or that pushes the oldest out of the eight that are kept, lowers this count, and below three the hold was cleared. A flood of other requests could push such a request out too.

Change: only news that the request was served releases it; a request that was held is held again at the next ending, and is forgotten last.

Test: TestIsolator, the last script; before it was free at once (0 s where 30 s are wanted), and after a flood without the new order.

--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -144,11 +144,12 @@
 	if own {
 		r.sentUntil = now.Add(newsTime)
 	}
-	switch {
-	case r.count() < i.maxEndings():
-		r.heldUntil = time.Time{}
-	case !e.Served:
+	switch counts := r.count() >= i.maxEndings(); {
+	case !e.Served && (counts || !r.heldUntil.IsZero()):
 		i.hold(e.Digest, r, now)
+	case e.Served && !counts:
+		// Endings that overlap with earlier ones lower the count too, and don't release a request.
+		r.heldUntil = time.Time{}
 	}
 }
 
@@ -163,13 +164,21 @@
 	i.requests[d] = r
 }
 
+// rank orders requests by how much their endings tell: those that were held come last.
+func (r *request) rank() int {
+	if !r.heldUntil.IsZero() {
+		return maxEndingsKept + 1
+	}
+	return r.count()
+}
+
 // trim forgets an eighth of the requests: those with the fewest endings, of which the last one is
 // the oldest.
 func (i *Isolator) trim(now time.Time) {
 	maps.DeleteFunc(i.requests, func(_ Digest, r *request) bool { return i.isForgotten(r, now) })
 	l := slices.SortedFunc(maps.Keys(i.requests), func(a, b Digest) int {
 		x, y := i.requests[a], i.requests[b]
-		return cmp.Or(cmp.Compare(x.count(), y.count()), x.last.Compare(y.last))
+		return cmp.Or(cmp.Compare(x.rank(), y.rank()), x.last.Compare(y.last))
 	})
 	for _, d := range l[:max(0, len(l)-maxRequests*7/8)] {
 		delete(i.requests, d)
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -52,6 +52,11 @@
 			g.gateway(f[1]).Add(isolator.Ending{Digest: digest(f[2]), Process: p, Began: time.Duration(10+n) * time.Millisecond})
 		}
 		return ""
+	case "flood": // flood GATEWAY: more other requests with an ending than are remembered
+		for n := range 3000 {
+			g.gateway(f[1]).Add(isolator.Ending{Digest: digest(fmt.Sprint("flood", n)), Process: "other"})
+		}
+		return ""
 	case "count":
 		n := 0
 		for _, m := range g.gateway(f[1]).News() {
