dispatcher, forwarder: order, wait and refusal follow from the caller's time and the work left

Cause: the forwarder guessed repeats from the deadline (isCallerRetry), the dispatcher kept a queue of first tries and one of repeats with reserved shares of the slots, and waits were shares of the target latency or of the deadline (0.5, 0.45). Change: one queue, by priority and then by the latest start: the deadline, for a stream also the caller's patience, less the work (overhead and time per token are measured for each route, the prompt goes by the engine's reading rate). A request that the queue won't reach by then is refused on arrival, or as soon as the queue slows. The rate of the queue is the rate at which requests got slots while others waited. A pass over the queue remembers how long a prompt may be for which there is a slot, since the order is no longer that of arrival.

--- a/dispatcher/availability.go
+++ b/dispatcher/availability.go
@@ -174,13 +174,8 @@
 	if p == nil {
 		return refuse(classifier.Unavailable, "no-endpoint", noEndpointRetryAfter)
 	}
-	return d.checkAvailable(p, r, d.now())
-}
-
-// checkAvailable returns an error if no endpoint may serve the request before it is
-// refused, and none is about to load its weights.
-func (d *Dispatcher) checkAvailable(p *pool, r Request, now time.Time) error {
-	return d.prospect(p, r, now).check(r, now)
+	now := d.now()
+	return d.prospect(p, r, now).check(p.latestStart(r), now)
 }
 
 // prospect tells when an endpoint may serve requests with the same constraints.
@@ -210,42 +205,41 @@
 	return s
 }
 
-// check returns the error with which the request is refused, or nil.
-func (s prospect) check(r Request, now time.Time) error {
+// check returns the error with which a request is refused that has to be sent at latest, or
+// nil: no endpoint may serve it by then, and none is about to load its weights.
+func (s prospect) check(latest, now time.Time) error {
 	switch {
 	case !s.allowed && !s.loading:
 		return refuse(classifier.Unavailable, "no-endpoint", noEndpointRetryAfter)
-	case s.allowed && s.back.After(now) && s.back.After(r.Until):
+	case s.allowed && s.back.After(now) && s.back.After(latest):
 		return refuse(classifier.Unavailable, "paused", s.back.Sub(now))
 	}
 	return nil
 }
 
-// refuseUnavailable refuses the queued requests for which checkAvailable returns an error.
+// refuseUnavailable refuses the queued requests that can't be served any more.
 // It looks for endpoints once for all requests with the same constraints, apart from the few
 // that exclude endpoints.
 func (d *Dispatcher) refuseUnavailable(p *pool, now time.Time) {
 	known := make(map[constraints]prospect)
-	for _, q := range []*[]*waiter{&p.fresh, &p.retried} {
-		kept := (*q)[:0]
-		for _, w := range *q {
-			k := w.request.constraints()
-			s, ok := known[k]
-			if !ok || len(w.request.Exclude) > 0 {
-				s = d.prospect(p, w.request, now)
-			}
-			if len(w.request.Exclude) == 0 {
-				known[k] = s
-			}
-			if err := s.check(w.request, now); err != nil {
-				w.granted <- waitResult{err: err}
-				continue
-			}
-			kept = append(kept, w)
+	kept := p.queue[:0]
+	for _, w := range p.queue {
+		k := w.request.constraints()
+		s, ok := known[k]
+		if !ok || len(w.request.Exclude) > 0 {
+			s = d.prospect(p, w.request, now)
+		}
+		if len(w.request.Exclude) == 0 {
+			known[k] = s
+		}
+		if err := s.check(w.latest, now); err != nil {
+			w.granted <- waitResult{err: err}
+			continue
 		}
-		clear((*q)[len(kept):])
-		*q = kept
+		kept = append(kept, w)
 	}
+	clear(p.queue[len(kept):])
+	p.queue = kept
 }
 
 // IsRevoked reports whether the request must not be sent on the lease any more: since it was
--- a/dispatcher/begin.go
+++ b/dispatcher/begin.go
@@ -93,7 +93,7 @@
 	if len(n.begins.pending) == 0 {
 		return false
 	}
-	return now.Sub(n.begins.pending[0].sentAt) > max(minStall, stallFactor*p.firstToken.usual())
+	return now.Sub(n.begins.pending[0].sentAt) > max(minStall, stallFactor*p.firstToken.above(usualDeviations))
 }
 
 // settle records that the request began, or that it ended before. The caller must hold
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -52,6 +52,9 @@
 	gatewayList []*observer.Gateway
 	// near and far are buffers that pickAmong reuses.
 	near, far []*node
+	// room is the longest prompt processing time that fits at an endpoint with a free slot, as
+	// the last call of pick found.
+	room time.Duration
 	// listed reports whether an endpoint list has been applied. Endpoints of the
 	// first list aren't taken for newly started.
 	listed bool
@@ -67,23 +70,19 @@
 	Match resolver.Match
 	// Exclude lists the ids of endpoints that have already been tried.
 	Exclude []string
-	// Until is the time at which a request that is still queued is refused.
-	Until time.Time
-	// HoldUntil replaces Until for a request that can't be served in time but soon: all
-	// slots are taken, or no endpoint has a version that may be used and some are about to
-	// load one. The zero value means that the request is refused then.
-	HoldUntil time.Time
+	// Deadline is when the caller stops waiting for the end of the response.
+	Deadline time.Time
+	// FirstBy is when the caller leaves if the response, or its next part, hasn't begun; the
+	// zero value if only Deadline counts.
+	FirstBy time.Time
 	// Resumed is set for a request that continues a stream which the caller is
 	// already reading. It precedes all others, as the caller notices a pause in a
 	// stream at once.
 	Resumed bool
-	// Retried is set for a request that the caller repeats after a refusal and that
-	// is therefore already late. While first requests are queued or refused, such
-	// requests get a small part of the free slots, otherwise any of them.
-	Retried bool
 	// Prompt is the number of prompt tokens that the engine processes before it
-	// generates the first token; 0 for a service without engines.
-	Prompt int
+	// generates the first token, and Answer the largest number of tokens that it generates; 0
+	// for a service without engines.
+	Prompt, Answer int
 }
 
 // rank returns the priority of the request in the queue; the lowest value is first.
@@ -141,6 +140,7 @@
 		d.updateSharers(p, rank)
 		d.updateCold(p)
 		d.grant(p)
+		d.refuseLate(p, now)
 		overdue = append(overdue, d.takeOverdue(p, now)...)
 	}
 	d.listed = true
@@ -240,7 +240,7 @@
 }
 
 // Acquire assigns the request to an endpoint and returns the lease. It waits while
-// all endpoints are full and the request can still be served in time. The error is
+// all endpoints are full and the request can still be served in its caller's time. The error is
 // of type *Error.
 func (d *Dispatcher) Acquire(ctx context.Context, r Request) (*Lease, error) {
 	l, w, err := d.acquireOrQueue(r)
@@ -265,16 +265,13 @@
 	if n := d.pick(p, r, now); n != nil {
 		return d.lease(p, n, r, now), nil, nil
 	}
-	if d.mayHold(p, r, now) {
-		r = r.late()
-	} else if err := d.checkWait(p, r, now); err != nil {
-		if !d.mayBeLate(p, r, now, err) {
+	w := &waiter{pool: p, request: r, rank: r.rank(), latest: p.latestStart(r), since: now, granted: make(chan waitResult, 1)}
+	if !d.mayHold(p, w, now) {
+		if err := d.checkWait(p, w, now); err != nil {
 			return nil, nil, err
 		}
-		r = r.late()
 	}
-	w := &waiter{pool: p, request: r, rank: r.rank(), since: now, granted: make(chan waitResult, 1)}
-	p.enqueue(w)
+	p.enqueue(w, now)
 	return nil, w, nil
 }
 
@@ -297,7 +294,7 @@
 	now := d.now()
 	var l []Status
 	for _, p := range d.pools {
-		s := Status{Service: p.service, Endpoints: len(p.nodes), Queued: len(p.fresh) + len(p.retried)}
+		s := Status{Service: p.service, Endpoints: len(p.nodes), Queued: len(p.queue)}
 		for _, n := range p.nodes {
 			s.InFlight += n.inFlight
 			s.Draining += boolToInt(n.Draining)
--- a/dispatcher/doc.go
+++ b/dispatcher/doc.go
@@ -8,13 +8,13 @@
 // endpoints sampled at random, by the load relative to the slots, the prompts that
 // are not processed yet, the distance, recent failures and the model version.
 //
-// A request that finds all slots taken waits in the pool's queue, by priority and
-// then in the order of arrival, as long as the queue drains fast enough to serve it
-// in time. A retried request is late anyway; it waits longer, in a separate queue that
-// gets a small part of the slots while there are first requests. A first request that
-// can't be served in time joins that queue if it will be served soon; otherwise it is
-// refused at once with the time after which to retry. Requests are also held there while
-// no endpoint has a version that may be used and some are about to load one.
+// A request that finds all slots taken waits in the pool's queue, by priority and then by
+// its latest start: the time by which it has to be sent so that its caller is still there
+// when the work is done. The work follows from the prompt, the answer and what earlier
+// requests of the route took. First tries and repeats are alike. A request that the queue
+// won't reach by its latest start is refused, on arrival or as soon as the queue slows, with
+// the time after which to retry. Requests also wait there while no endpoint has a version
+// that may be used and some are about to load one.
 //
 // The package opens no connections; the clock and the endpoint list are inputs. It
 // is designed for the arrival of more streams than the engines run at once: an
--- a/dispatcher/grant.go
+++ b/dispatcher/grant.go
@@ -16,33 +16,24 @@
 // grantOne assigns a slot to the first queued request that can use one and reports
 // whether there was one. It runs for each load report and each response, so its cost
 // must not grow with the queue, or a gateway falls behind when many requests wait.
-// It therefore skips a request that needs at least as much as one for which it found
-// no slot in this pass.
+// It therefore skips a request for which another one has shown in this pass that there is
+// no slot.
 func (d *Dispatcher) grantOne(p *pool, now time.Time) bool {
-	if len(p.fresh)+len(p.retried) == 0 {
-		return false
-	}
-	first, second := p.fresh, p.retried
-	if p.isRetriedTurn() {
-		first, second = second, first
-	}
 	p.unplaced = p.unplaced[:0]
-	for _, q := range [...][]*waiter{first, second} {
-		for _, w := range q {
-			if p.isUnplaced(w.request) {
-				continue
-			}
-			n := d.pick(p, w.request, now)
-			if n == nil {
-				p.noteUnplaced(w.request)
-				continue
-			}
-			p.remove(w)
-			l := d.lease(p, n, w.request, now)
-			l.Waited = now.Sub(w.since)
-			w.granted <- waitResult{lease: l}
-			return true
+	for _, w := range p.queue {
+		if p.isUnplaced(w.request) {
+			continue
+		}
+		n := d.pick(p, w.request, now)
+		if n == nil {
+			p.noteUnplaced(w.request, d.room)
+			continue
 		}
+		p.remove(w)
+		l := d.lease(p, n, w.request, now)
+		l.Waited = now.Sub(w.since)
+		w.granted <- waitResult{lease: l}
+		return true
 	}
 	return false
 }
@@ -53,37 +44,36 @@
 	route *resolver.Route
 	// account is nil for client accounts that don't restrict regions, as these are
 	// equivalent.
-	account          *resolver.Account
-	retried, resumed bool
+	account *resolver.Account
+	resumed bool
 }
 
 // unplaced records constraints for which no slot was found.
 type unplaced struct {
 	constraints
-	// prompt is the smallest number of prompt tokens for which no slot was found.
-	prompt int
+	// room is the longest prompt processing time for which there is a slot; negative if there
+	// is none.
+	room time.Duration
 }
 
 func (r Request) constraints() constraints {
-	m := constraints{route: r.Match.Route, retried: r.Retried, resumed: r.Resumed}
+	m := constraints{route: r.Match.Route, resumed: r.Resumed}
 	if a := r.Match.Account; a != nil && len(a.Regions) > 0 {
 		m.account = a
 	}
 	return m
 }
 
-// isUnplaced reports whether no slot was found in this pass for a request with the
-// same constraints and a prompt of at most the same length.
+// isUnplaced reports whether a request with the same constraints has shown in this pass that
+// there is no slot.
 func (p *pool) isUnplaced(r Request) bool {
 	u := p.findUnplaced(r)
-	return u != nil && r.Prompt >= u.prompt
+	return u != nil && p.prefillTime(r) > u.room
 }
 
-func (p *pool) noteUnplaced(r Request) {
-	if u := p.findUnplaced(r); u != nil {
-		u.prompt = min(u.prompt, r.Prompt)
-	} else if len(r.Exclude) == 0 {
-		p.unplaced = append(p.unplaced, unplaced{r.constraints(), r.Prompt})
+func (p *pool) noteUnplaced(r Request, room time.Duration) {
+	if len(r.Exclude) == 0 && p.findUnplaced(r) == nil {
+		p.unplaced = append(p.unplaced, unplaced{r.constraints(), room})
 	}
 }
 
--- a/dispatcher/hold.go
+++ b/dispatcher/hold.go
@@ -3,46 +3,28 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 )
 
 // After a loss of all weights, or if a version is due before its successor has been spread,
 // no endpoint may serve for some seconds. Requests that are refused then come back while
-// there still is none, or all at the same time. Held requests wait until the first endpoint
-// is ready, and get the slots that first requests leave.
+// there still is none, or all at the same time. They wait in the queue until the first endpoint
+// is ready, as long as they can still be served then.
 
 const (
 	// maxHeldOutage is how long after the last usable endpoint requests are held. If an
 	// outage takes longer, its end isn't near.
 	maxHeldOutage = 5 * time.Second
-	// heldRecovery is the time after an outage for which held requests leave free slots, as
-	// under overload; about the longest time that a request is held.
+	// heldRecovery is the time without held requests after which an outage is a new one.
 	heldRecovery = 3 * time.Second
 )
 
-// late returns the request as it is queued if it can't be served in time any more.
-func (r Request) late() Request {
-	r.Until, r.Retried = r.HoldUntil, true
-	return r
-}
-
-// mayBeLate reports whether a first request for which checkWait returned the error waits
-// among the late ones, because these are served before HoldUntil. If it were refused, it
-// would come back as one of them, and its caller would have no further attempt.
-func (d *Dispatcher) mayBeLate(p *pool, r Request, now time.Time, err error) bool {
-	if r.Retried || r.Resumed || classifier.Of(err) != classifier.Exhausted || !now.Before(r.HoldUntil) {
-		return false
-	}
-	return d.checkWait(p, r.late(), now) == nil
-}
-
 // isRecovering reports whether requests were held recently.
 func (p *pool) isRecovering(now time.Time) bool { return now.Sub(p.heldAt) < heldRecovery }
 
 // mayHold reports whether the request waits for an endpoint that is about to load its
 // weights, as none may be used. It records when that state began.
-func (d *Dispatcher) mayHold(p *pool, r Request, now time.Time) bool {
+func (d *Dispatcher) mayHold(p *pool, w *waiter, now time.Time) bool {
+	r := w.request
 	if p.model == "" || r.Resumed {
 		return false
 	}
@@ -60,7 +42,7 @@
 		p.heldSince = now
 	}
 	p.heldAt = now
-	return now.Sub(p.heldSince) < maxHeldOutage && now.Before(r.HoldUntil) && len(p.fresh)+len(p.retried) < maxQueue
+	return now.Sub(p.heldSince) < maxHeldOutage && now.Before(w.latest) && len(p.queue) < maxQueue
 }
 
 // isLoading reports whether the endpoint could serve the request if it had the weights, and
--- a/dispatcher/lease.go
+++ b/dispatcher/lease.go
@@ -25,6 +25,8 @@
 	// once it has.
 	prefill time.Duration
 	sentAt  time.Time
+	// begunAt is when the first part of the response arrived; the zero value before.
+	begunAt time.Time
 	// grantedAt is the time of sentAt on the clock of package timekeeper.
 	grantedAt time.Time
 	// served reports whether Done(Served) was called. The lock of d guards it.
@@ -67,12 +69,8 @@
 	l.prefill = p.prefillTime(r)
 	n.prefill += l.prefill
 	n.inFlight++
-	switch {
-	case r.Retried:
-		p.freshSinceRetried = 0
-	case !r.Resumed:
-		p.freshSinceRetried++
-	}
+	p.trim(now)
+	p.assigned = append(p.assigned, now)
 	if n.isResuming(now) {
 		n.availability.resumed++
 	}
@@ -87,7 +85,11 @@
 func (l *Lease) PrefillDone() {
 	l.d.mu.Lock()
 	defer l.d.mu.Unlock()
-	l.node.respondedAt = l.d.now()
+	now := l.d.now()
+	l.node.respondedAt = now
+	if l.begunAt.IsZero() {
+		l.begunAt = now
+	}
 	l.settle(true)
 	if l.prefill > 0 {
 		l.finishPrefill()
@@ -127,6 +129,7 @@
 	case Served:
 		l.served = true
 		n.recordSuccess()
+		l.pool.observeWork(l, now)
 	case Failed:
 		n.recordFailure(now)
 	case Full:
@@ -134,9 +137,5 @@
 	case Misdirected:
 		n.avoid(now.Add(misdirectedBackoff))
 	}
-	l.pool.trim(now)
-	if o == Served || o == Canceled {
-		l.pool.freed = append(l.pool.freed, now)
-	}
 	d.grant(l.pool)
 }
--- a/dispatcher/pick.go
+++ b/dispatcher/pick.go
@@ -67,9 +67,13 @@
 // isCurrent reports whether requests may go by the endpoint list.
 func (d *Dispatcher) isCurrent() bool { return d.IsCurrent == nil || d.IsCurrent() }
 
+// noRoom is a room in which no prompt fits.
+const noRoom time.Duration = -1
+
 // pick returns an endpoint that has capacity and a low relative load, or nil.
 // Suspect endpoints are picked only if no other is usable.
 func (d *Dispatcher) pick(p *pool, r Request, now time.Time) *node {
+	d.room = noRoom
 	if !d.isCurrent() {
 		return nil
 	}
@@ -135,10 +139,15 @@
 // hasCapacity reports whether the endpoint has a free slot for the request and,
 // unless the request resumes a stream, few enough prompts pending.
 func (d *Dispatcher) hasCapacity(p *pool, n *node, r Request, now time.Time) bool {
-	if n.load(now, d.gateways) >= p.limit(n, r, now) || n.isColdLimited(now) || n.isResumeLimited(now) {
+	if n.load(now, d.gateways) >= n.limit() || n.isColdLimited(now) || n.isResumeLimited(now) {
 		return false
 	}
-	return r.Resumed || n.prefill == 0 || n.prefill+p.prefillTime(r) <= d.prefillLimit(n, r)
+	if r.Resumed || n.prefill == 0 {
+		return true
+	}
+	room := d.prefillLimit(n, r) - n.prefill
+	d.room = max(d.room, room)
+	return p.prefillTime(r) <= room
 }
 
 // score returns the relative load of an endpoint plus the costs of distance,
--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -1,9 +1,12 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"net/netip"
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
@@ -11,29 +14,22 @@
 )
 
 const (
-	// rateWindow is the period over which the rate of freed slots is measured.
-	rateWindow = 2 * time.Second
+	// rateWindow is the period over which the rate of the queue is measured, and minRateTime
+	// the time of waiting from which it is known.
+	rateWindow  = 2 * time.Second
+	minRateTime = 500 * time.Millisecond
+	// acceptDeviations is the number of standard deviations of the expected wait by which a
+	// request has to be earlier than its latest start to be queued. Those in the queue need
+	// none, so that small changes of the rate don't refuse what was just accepted.
+	acceptDeviations = 1
 	// fullRetryAfter is the minimum Error.RetryAfter if all endpoints are full.
 	fullRetryAfter = 800 * time.Millisecond
 	// noEndpointRetryAfter is Error.RetryAfter if no endpoint may be used; weights take
 	// a few seconds to arrive.
 	noEndpointRetryAfter = 2 * time.Second
-)
-
-const (
-	// slotsPerRetried is the number of slots of which one goes to a retried request.
-	// Under lasting overload the first requests then stay in time.
-	slotsPerRetried = 20
-	// slotsPerQueuedRetried is the assumed number of slots of which a retried request gets
-	// one under overload, together with those that first requests leave between bursts.
-	slotsPerQueuedRetried = 3
-	// overloadWindow is how long the service counts as overloaded after the refusal of
-	// a first request; about the time in which a slot becomes free.
+	// overloadWindow is how long the service counts as overloaded after a refusal for lack
+	// of a slot; about the time in which a slot becomes free.
 	overloadWindow = time.Second
-	// retriedSlotShare is the part of an endpoint's slots up to which retried requests
-	// may fill it under overload, apart from the one in slotsPerRetried. The rest
-	// stays free for first requests.
-	retriedSlotShare = 0.9
 	// maxQueue limits the queued requests of one service at one gateway.
 	maxQueue = 512
 )
@@ -43,10 +39,21 @@
 	pool    *pool
 	request Request
 	rank    int
+	// latest is when the request has to be sent so that it is served in its caller's time.
+	latest  time.Time
 	since   time.Time
 	granted chan waitResult
 }
 
+// compareWaiters orders the queue: by priority, and then by the time to spare. A request that
+// can no longer be served in time is taken out of the queue, so the first one still can be.
+func compareWaiters(a, b *waiter) int {
+	if c := cmp.Compare(a.rank, b.rank); c != 0 {
+		return c
+	}
+	return a.latest.Compare(b.latest)
+}
+
 // waitResult is the end of a wait: a lease, or the error with which the request is refused.
 type waitResult struct {
 	lease *Lease
@@ -60,17 +67,16 @@
 	// byAddress holds the endpoints at each address. All but one of them are gone, or were
 	// never there.
 	byAddress map[netip.AddrPort][]*node
-	// fresh and retried are the queues, each by rank and then by arrival.
-	fresh, retried []*waiter
-	// freshSinceRetried counts the slots that first requests got since a retried one
-	// last got one.
-	freshSinceRetried int
+	// queue holds the requests that wait, in the order of compareWaiters, and waitingSince is
+	// when it was last empty.
+	queue        []*waiter
+	waitingSince time.Time
 	// heldAt is when a request last found no endpoint that may be used, and heldSince when
 	// that state began.
 	heldAt, heldSince time.Time
 	// reportedAt is when an endpoint was last reported.
 	reportedAt time.Time
-	// refusedAt is when a first request was last refused for lack of a slot.
+	// refusedAt is when a request was last refused for lack of a slot.
 	refusedAt time.Time
 	// model is the model of the engines; empty for a service without engines.
 	model string
@@ -82,104 +88,95 @@
 	// named holds the versions that were named, the newest last.
 	named []namedVersion
 	// lateFloor is the newest version whose predecessors may no longer be used soon.
-	lateFloor  int64
-	cold       coldShare
-	firstToken firstTokenTime
+	lateFloor int64
+	cold      coldShare
+	// firstToken is the time to the first token of all requests, and work the work of each
+	// route.
+	firstToken average
+	work       map[string]*routeWork
 	// unplaced is a buffer that grantOne reuses.
 	unplaced []unplaced
-	// freed holds the times at which slots became free within rateWindow.
-	freed []time.Time
+	// assigned holds the times within rateWindow at which requests got a slot.
+	assigned []time.Time
 }
 
-// queue returns the queue of a request.
-func (p *pool) queue(r Request) *[]*waiter {
-	if r.Retried {
-		return &p.retried
+func (p *pool) enqueue(w *waiter, now time.Time) {
+	if len(p.queue) == 0 {
+		p.waitingSince = now
 	}
-	return &p.fresh
+	p.queue = slices.Insert(p.queue, p.place(w), w)
 }
 
-func (p *pool) enqueue(w *waiter) {
-	q := p.queue(w.request)
-	i := len(*q)
-	for i > 0 && (*q)[i-1].rank > w.rank {
-		i--
-	}
-	*q = slices.Insert(*q, i, w)
+// place returns the number of queued requests that precede the waiter.
+func (p *pool) place(w *waiter) int {
+	return sort.Search(len(p.queue), func(i int) bool { return compareWaiters(p.queue[i], w) > 0 })
 }
 
-// remove takes a waiter off its queue and reports whether it was there.
+// remove takes a waiter off the queue and reports whether it was there.
 func (p *pool) remove(w *waiter) bool {
-	q := p.queue(w.request)
-	i := slices.Index(*q, w)
+	i := slices.Index(p.queue, w)
 	if i >= 0 {
-		*q = slices.Delete(*q, i, i+1)
+		p.queue = slices.Delete(p.queue, i, i+1)
 	}
 	return i >= 0
 }
 
-// slotsNeeded returns the number of slots that must become free for the request to
-// get one, if no other request enters or leaves the queue ahead of it.
-func (p *pool) slotsNeeded(r Request, now time.Time) float64 {
-	n := 1.0
-	for _, w := range *p.queue(r) {
-		if w.rank <= r.rank() {
-			n++
-		}
-	}
-	if r.Retried && (len(p.fresh) > 0 || p.isOverloaded(now)) {
-		return n * slotsPerQueuedRetried
-	}
-	return n
-}
-
-// isOverloaded reports whether a first request was refused for lack of a slot within
+// isOverloaded reports whether a request was refused for lack of a slot within
 // overloadWindow.
 func (p *pool) isOverloaded(now time.Time) bool { return now.Sub(p.refusedAt) < overloadWindow }
 
-// isRetriedTurn reports whether the next slot goes to a retried request.
-func (p *pool) isRetriedTurn() bool { return p.freshSinceRetried >= slotsPerRetried-1 }
-
-// limit returns the number of requests at the endpoint below which the request may
-// get a slot.
-func (p *pool) limit(n *node, r Request, now time.Time) int {
-	if r.Retried && (p.isOverloaded(now) || p.isRecovering(now)) && !p.isRetriedTurn() {
-		return max(1, int(float64(n.limit())*retriedSlotShare))
-	}
-	return n.limit()
-}
-
-// refuseFull returns the error of a request refused for lack of a slot, and records
-// the time if it is a first request.
-func (p *pool) refuseFull(r Request, now time.Time, reason string, after time.Duration) error {
-	if !r.Retried && !r.Resumed {
-		p.refusedAt = now
-	}
+// refuseFull returns the error of a request refused for lack of a slot, and records the time.
+func (p *pool) refuseFull(now time.Time, reason string, after time.Duration) error {
+	p.refusedAt = now
 	return refuse(classifier.Exhausted, reason, after)
 }
 
-// rate returns the number of slots of this gateway's requests that became free
-// per second within rateWindow; 0 if there were too few to tell.
+// rate returns the number of this gateway's requests that got a slot per second while others
+// waited; 0 if that isn't known. Slots that were given before say how many requests came, not
+// how many could be served, and during an outage none are.
 func (p *pool) rate(now time.Time) float64 {
+	if len(p.queue) == 0 {
+		return 0
+	}
 	p.trim(now)
-	if len(p.freed) < 8 {
+	from := now.Add(-rateWindow)
+	for _, t := range []time.Time{p.waitingSince, p.heldAt} {
+		if t.After(from) {
+			from = t
+		}
+	}
+	if now.Sub(from) < minRateTime {
 		return 0
 	}
-	return float64(len(p.freed)) / max(now.Sub(p.freed[0]), 100*time.Millisecond).Seconds()
+	n := 0
+	for i := len(p.assigned); i > 0 && p.assigned[i-1].After(from); i-- {
+		n++
+	}
+	return float64(n) / now.Sub(from).Seconds()
 }
 
 func (p *pool) trim(now time.Time) {
 	i := 0
-	for i < len(p.freed) && now.Sub(p.freed[i]) > rateWindow {
+	for i < len(p.assigned) && now.Sub(p.assigned[i]) > rateWindow {
 		i++
 	}
-	p.freed = p.freed[i:]
+	p.assigned = p.assigned[i:]
+}
+
+// expectedWait returns the time in which n queued requests get their slots at the rate, plus a
+// number of standard deviations of it; 0 if the rate isn't known.
+func expectedWait(n, rate, deviations float64) time.Duration {
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration((n + deviations*math.Sqrt(n)) / rate * float64(time.Second))
 }
 
 // checkWait returns an error if no endpoint may serve the request, the queue is full
-// or the request can't be served in time.
-func (d *Dispatcher) checkWait(p *pool, r Request, now time.Time) error {
-	if err := d.checkAvailable(p, r, now); err != nil {
+// or the request can't be served in its caller's time.
+func (d *Dispatcher) checkWait(p *pool, w *waiter, now time.Time) error {
+	r := w.request
+	if err := d.prospect(p, r, now).check(w.latest, now); err != nil {
 		return err
 	}
 	usable, soon := 0, false
@@ -192,56 +189,66 @@
 	if !soon {
 		return refuse(classifier.Unavailable, "no-endpoint", noEndpointRetryAfter)
 	}
-	left := r.Until.Sub(now)
-	if left <= 0 || len(p.fresh)+len(p.retried) >= maxQueue {
-		return p.refuseFull(r, now, "full", fullRetryAfter)
+	left := w.latest.Sub(now)
+	if left <= 0 || len(p.queue) >= maxQueue {
+		return p.refuseFull(now, "full", fullRetryAfter)
 	}
-	if rate := p.rate(now); usable > 0 && rate > 0 {
-		if wait := time.Duration(p.slotsNeeded(r, now) / rate * float64(time.Second)); wait > left {
-			return p.refuseFull(r, now, "queue-too-long", max(fullRetryAfter, wait))
-		}
+	if usable == 0 {
+		return nil
+	}
+	if wait := expectedWait(float64(p.place(w)+1), p.rate(now), acceptDeviations); wait > left {
+		return p.refuseFull(now, "queue-too-long", max(fullRetryAfter, wait))
 	}
 	return nil
 }
 
+// refuseLate refuses the queued requests that the queue won't reach in their callers' time, as
+// it has slowed since they were accepted. Those behind them move up.
+func (d *Dispatcher) refuseLate(p *pool, now time.Time) {
+	if len(p.queue) == 0 {
+		return
+	}
+	rate := p.rate(now)
+	kept := p.queue[:0]
+	for _, w := range p.queue {
+		wait := expectedWait(float64(len(kept)+1), rate, 0)
+		switch {
+		case now.After(w.latest):
+			w.granted <- waitResult{err: p.refuseFull(now, "waited", max(fullRetryAfter, wait))}
+		case now.Add(wait).After(w.latest):
+			w.granted <- waitResult{err: p.refuseFull(now, "queue-too-long", max(fullRetryAfter, wait))}
+		default:
+			kept = append(kept, w)
+		}
+	}
+	clear(p.queue[len(kept):])
+	p.queue = kept
+}
+
 func (d *Dispatcher) await(ctx context.Context, w *waiter) (*Lease, error) {
-	t := time.NewTimer(w.request.Until.Sub(w.since))
+	t := time.NewTimer(w.latest.Sub(w.since))
 	defer t.Stop()
-	for {
-		select {
-		case g := <-w.granted:
+	select {
+	case g := <-w.granted:
+		return g.lease, g.err
+	case <-t.C:
+		if g, ok := d.cancelWait(w); ok {
 			return g.lease, g.err
-		case <-t.C:
-			if g, ok := d.cancelWait(w); ok {
-				return g.lease, g.err
-			}
-			wait, err := d.requeueLate(w)
-			if err != nil {
-				return nil, err
-			}
-			t.Reset(wait)
-		case <-ctx.Done():
-			if g, ok := d.cancelWait(w); ok && g.lease != nil {
-				g.lease.Done(Canceled)
-			}
-			return nil, &Error{Op: "acquire", Kind: classifier.Timeout, Reason: "caller-left", Err: ctx.Err()}
 		}
+		return nil, d.refuseWaited(w)
+	case <-ctx.Done():
+		if g, ok := d.cancelWait(w); ok && g.lease != nil {
+			g.lease.Done(Canceled)
+		}
+		return nil, &Error{Op: "acquire", Kind: classifier.Timeout, Reason: "caller-left", Err: ctx.Err()}
 	}
 }
 
-// requeueLate queues a request that has waited in vain among the late ones, and returns how
-// long it waits there, or the error with which it is refused.
-func (d *Dispatcher) requeueLate(w *waiter) (time.Duration, error) {
+// refuseWaited returns the error of a request whose latest start has passed in the queue.
+func (d *Dispatcher) refuseWaited(w *waiter) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p, now := w.pool, d.now()
-	err := p.refuseFull(w.request, now, "waited", fullRetryAfter)
-	if !d.mayBeLate(p, w.request, now, err) {
-		return 0, err
-	}
-	w.request = w.request.late()
-	p.enqueue(w)
-	return w.request.Until.Sub(now), nil
+	return w.pool.refuseFull(d.now(), "waited", fullRetryAfter)
 }
 
 // cancelWait removes the waiter from the queue, or returns the end of its wait if that has
--- /dev/null
+++ b/dispatcher/work.go
@@ -0,0 +1,97 @@
+package dispatcher
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// averageWeight is the weight of one measurement in the averages.
+	averageWeight = 0.05
+	// usualDeviations is the number of mean deviations added to an average for a time that
+	// three of four requests keep, and likelyDeviations for one that 19 of 20 keep. Under
+	// overload requests begin near their latest start, so the others run in vain.
+	usualDeviations  = 1
+	likelyDeviations = 2
+	// answerTime is the time that a refusal takes to reach its caller.
+	answerTime = 50 * time.Millisecond
+	// maxRoutes bounds the routes whose work is known.
+	maxRoutes = 4096
+)
+
+// average is the moving average of a time and of its deviation. The zero value is unknown.
+type average struct {
+	mean, deviation float64
+}
+
+func (a *average) observe(d time.Duration) {
+	if a.mean == 0 {
+		a.mean, a.deviation = float64(d), float64(d)/2
+		return
+	}
+	a.deviation += averageWeight * (math.Abs(float64(d)-a.mean) - a.deviation)
+	a.mean += averageWeight * (float64(d) - a.mean)
+}
+
+// above returns the average plus a number of mean deviations; 0 if it isn't known.
+func (a *average) above(deviations float64) time.Duration {
+	return time.Duration(a.mean + deviations*a.deviation)
+}
+
+// routeWork is how long endpoints take for the requests of one route.
+type routeWork struct {
+	// overhead is the time to the first part of the response without that of the prompt, and
+	// token the time per token of the answer after it.
+	overhead, token average
+}
+
+// workOf returns the work of a request: the times from sending it to the first part of its
+// response and to the end, within the number of deviations.
+func (p *pool) workOf(r Request, deviations float64) (begin, end time.Duration) {
+	w := p.work[r.Match.Route.Name]
+	switch {
+	case w != nil:
+		begin = w.overhead.above(deviations) + p.prefillTime(r)
+		return begin, begin + time.Duration(max(1, r.Answer))*w.token.above(deviations)
+	case p.model != "":
+		begin = unknownBegin + p.prefillTime(r)
+	}
+	return begin, begin
+}
+
+// latestStart returns when the request has to be sent so that the caller is still there when
+// its response begins and ends.
+func (p *pool) latestStart(r Request) time.Time {
+	begin, end := p.workOf(r, likelyDeviations)
+	if r.Resumed {
+		// How much of the answer is left isn't known.
+		end = begin
+	}
+	t := r.Deadline.Add(-end - answerTime)
+	if r.FirstBy.IsZero() {
+		return t
+	}
+	if first := r.FirstBy.Add(-begin - answerTime); first.Before(t) {
+		return first
+	}
+	return t
+}
+
+// observeWork adds a served request to those by which the work of its route is known.
+func (p *pool) observeWork(l *Lease, now time.Time) {
+	w := p.work[l.request.Match.Route.Name]
+	if w == nil {
+		if p.work == nil || len(p.work) >= maxRoutes {
+			p.work = make(map[string]*routeWork)
+		}
+		w = &routeWork{}
+		p.work[l.request.Match.Route.Name] = w
+	}
+	begun := l.begunAt
+	if begun.IsZero() {
+		begun = now
+	} else if !l.request.Resumed {
+		w.token.observe(now.Sub(begun) / time.Duration(max(1, l.request.Answer)))
+	}
+	w.overhead.observe(max(time.Microsecond, begun.Sub(l.sentAt)-p.prefillTime(l.request)))
+}
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -48,12 +48,10 @@
 	// revision is the revision of the configuration that resolved the request; 0 if there
 	// was none.
 	revision uint64
-	// callerRetry reports whether the caller retries a request that was refused before.
-	callerRetry bool
-	// promptTokens is the length of the prompt.
-	promptTokens    int
-	service         string
-	start, deadline time.Time
+	// promptTokens is the length of the prompt, and answerTokens the largest one of the answer.
+	promptTokens, answerTokens int
+	service                    string
+	start, deadline            time.Time
 
 	// lease is the lease of the attempt that began or ended last; a zero Lease before the
 	// first.
@@ -63,9 +61,10 @@
 	// with the lock of attempts.
 	started   bool
 	unflushed bool
-	// lastEvent is the id of the last event that the caller has received. The writer sets it
-	// with the lock of attempts.
-	lastEvent string
+	// lastEvent is the id of the last event that the caller has received, and lastEventAt when
+	// the last part of the stream was sent. The writer sets them with the lock of attempts.
+	lastEvent   string
+	lastEventAt time.Time
 	// tries is the number of attempts that have ended, or whose endpoints have been silent, in
 	// which the request may have been sent.
 	tries int
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,36 +20,18 @@
 )
 
 const (
-	// maxPromptTokens bounds the prompt length that a caller may state.
-	maxPromptTokens = 1 << 24
+	// maxTokens bounds the length of a prompt or an answer that a caller may state.
+	maxTokens = 1 << 24
 	// defaultMaxBodyBytes bounds a request body if the configuration sets no limit.
 	defaultMaxBodyBytes = 4 << 20
 	// maxFailedDials bounds the failed dials of one call, which count neither as
 	// attempts nor as retries.
 	maxFailedDials = 4
-	// queueTimeShare is the share of a route's target latency that a request may wait
-	// for a slot; the rest is left for the engine's first token.
-	queueTimeShare = 0.5
-	// minQueueTime is the lower bound of the time that a request may wait for a slot.
-	minQueueTime = 100 * time.Millisecond
-	// callerRetryDeadlineShare is the share of the longest deadline of a route below
-	// which a request is taken for a retry by the caller. Callers vary the deadlines of
-	// their first requests by some 15 in 100.
-	callerRetryDeadlineShare = 0.84
-	// callerRetryQueueShare is the share of its time to the deadline that a caller's
-	// retry may wait for a slot, up to maxCallerRetryQueueTime.
-	callerRetryQueueShare   = 0.45
-	maxCallerRetryQueueTime = 2500 * time.Millisecond
-	// Callers give up a stream without an event after the longest of minCallerPatience,
-	// patienceAimFactor times the target latency and patienceGapFactor times the target
-	// gap. patienceMargin is left for the first token.
-	minCallerPatience = 2 * time.Second
-	patienceAimFactor = 4
-	patienceGapFactor = 8
-	patienceMargin    = 500 * time.Millisecond
-	// maxResumeQueueTime is how long a broken stream waits for another endpoint. Callers
-	// abandon a stream that pauses for two seconds.
-	maxResumeQueueTime = 1500 * time.Millisecond
+	// Callers abandon a stream, also before its first event, after the longest of minPatience,
+	// patienceAims target latencies and patienceGaps target gaps without an event.
+	minPatience  = 2 * time.Second
+	patienceAims = 4
+	patienceGaps = 8
 	// defaultRetryAfter is the Retry-After time where the dispatcher gives none, for
 	// example before the gateway has a configuration.
 	defaultRetryAfter = time.Second
@@ -93,9 +74,6 @@
 	buffers bodyBuffers
 	// noticeErrors limits the log lines about notices.
 	noticeErrors logLimiter
-	// maxDeadlines holds the longest deadline in milliseconds that a caller has set on
-	// each route.
-	maxDeadlines sync.Map
 	// stopper knows how long the requests of each route usually take.
 	stopper stopper.Stopper
 }
@@ -189,22 +167,3 @@
 	}
 	return strings.TrimSpace(key)
 }
-
-// isCallerRetry reports whether the caller retries a request. A retry has less time
-// left than the first requests on the route, so its deadline in ms is shorter.
-func (f *Handler) isCallerRetry(route string, ms int64) bool {
-	v, ok := f.maxDeadlines.Load(route)
-	if !ok {
-		v, _ = f.maxDeadlines.LoadOrStore(route, new(atomic.Int64))
-	}
-	most := v.(*atomic.Int64)
-	for {
-		old := most.Load()
-		if ms <= old {
-			return float64(ms) < callerRetryDeadlineShare*float64(old)
-		}
-		if most.CompareAndSwap(old, ms) {
-			return false
-		}
-	}
-}
--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -262,7 +262,7 @@
 	c := a.call
 	c.attempts.mu.Lock()
 	defer c.attempts.mu.Unlock()
-	a.begun, c.started = true, true
+	a.begun, c.started, c.lastEventAt = true, true, time.Now()
 	if lastEvent != "" {
 		c.lastEvent = lastEvent
 	}
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -70,59 +70,39 @@
 	}
 	c.header = n.outgoing(q.Header, account)
 	c.lastEvent = q.Header.Get(n.ResumeFrom)
-	tokens, _, _ := strings.Cut(q.Header.Get(n.Tokens), ",")
-	if k, err := strconv.Atoi(tokens); err == nil {
-		c.promptTokens = max(0, min(k, maxPromptTokens))
-	}
+	prompt, answer, _ := strings.Cut(q.Header.Get(n.Tokens), ",")
+	c.promptTokens, c.answerTokens = tokens(prompt), tokens(answer)
 	c.service = m.Route.Pick(rand.IntN(m.Route.Weight()))
 	left := m.Route.Timeout
 	if ms, err := strconv.ParseInt(q.Header.Get(n.Deadline), 10, 64); err == nil && ms > 0 {
 		left = milliseconds(ms, left)
-		c.callerRetry = c.handler.isCallerRetry(m.Route.Name, ms)
 	}
 	c.deadline = c.start.Add(left)
 }
 
-// queueDeadline returns when the call is refused if it still waits for a slot.
-func (c *call) queueDeadline() time.Time {
-	if c.isStarted() {
-		return earlier(time.Now().Add(maxResumeQueueTime), c.deadline)
-	}
-	if c.callerRetry {
-		return c.start.Add(min(maxCallerRetryQueueTime, time.Duration(float64(c.deadline.Sub(c.start))*callerRetryQueueShare)))
+// tokens returns a number of tokens that a caller states; 0 if it states none.
+func tokens(s string) int {
+	k, err := strconv.Atoi(s)
+	if err != nil {
+		return 0
 	}
-	d := queueTime(c.match.Route.Aim, c.handler.Dispatcher.FirstTokenTime(c.service))
-	if c.tries > 0 {
-		return earlier(time.Now().Add(d), c.deadline)
-	}
-	return earlier(c.start.Add(d), c.deadline)
+	return max(0, min(k, maxTokens))
 }
 
-// holdDeadline returns when the call is refused if no endpoint can serve it before. It
-// leaves the time for another attempt of the caller, and for the first token before the
-// caller gives up.
-func (c *call) holdDeadline() time.Time {
+// firstBy returns when the caller abandons the stream unless its next part arrives; the zero
+// value if the response isn't a stream.
+func (c *call) firstBy() time.Time {
 	r := c.match.Route
-	patience := max(minCallerPatience, patienceAimFactor*r.Aim, patienceGapFactor*r.Gap) - patienceMargin
-	return c.start.Add(min(patience, time.Duration(float64(c.deadline.Sub(c.start))*callerRetryQueueShare)))
-}
-
-// queueTime returns how long a request with the given target latency may wait for a slot,
-// so that the engine can still answer it in time. Under lasting overload every request
-// waits that long, and one that waits longer is late.
-func queueTime(aim, firstToken time.Duration) time.Duration {
-	d := time.Duration(float64(aim) * queueTimeShare)
-	if firstToken > 0 {
-		d = min(d, aim-firstToken)
-	}
-	return max(d, minQueueTime)
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
+	if !r.Streaming {
+		return time.Time{}
+	}
+	c.attempts.mu.Lock()
+	defer c.attempts.mu.Unlock()
+	since := c.start
+	if c.started {
+		since = c.lastEventAt
 	}
-	return b
+	return since.Add(max(minPatience, patienceAims*r.Aim, patienceGaps*r.Gap))
 }
 
 // serve makes attempts until the call is finished. It waits only while an attempt that isn't
@@ -254,8 +234,8 @@
 // dispatcherRequest returns the request for the next lease.
 func (c *call) dispatcherRequest() dispatcher.Request {
 	return dispatcher.Request{
-		Service: c.service, Match: c.match, Exclude: c.triedEndpoints, Until: c.queueDeadline(), HoldUntil: c.holdDeadline(),
-		Prompt: c.promptTokens, Retried: c.callerRetry, Resumed: c.isStarted(),
+		Service: c.service, Match: c.match, Exclude: c.triedEndpoints, Deadline: c.deadline, FirstBy: c.firstBy(),
+		Prompt: c.promptTokens, Answer: c.answerTokens, Resumed: c.isStarted(),
 	}
 }
 
