dispatcher: prompts ahead at an engine are bounded by its reports, not by the target latency

Callers saw: how many prompts were ahead of their own at an engine, and which engine they got, followed from the operator's target latency: 240 ms of prompts at a target of 400 ms, 600 ms at one of a second, with the same engines and the same time of the callers. Cause: prefillShare 0.6 and prefillCost were parts of the target. Change: an engine needs no more prompts than it reads until its next report (0.2 s), over all gateways that send to it. What waits longer waits in the queue, where it goes by its caller's time. The cost of pending prompts in the choice is relative to that. Pauses of running streams don't bound it: an engine reads prompts in pieces between tokens, so they depend on whether prompts are pending, not on how many. Test: the last script of testdata/callers-time; on the code before a target of 40 ms let one prompt through and one of 4 s all three.

--- a/dispatcher/pick.go
+++ b/dispatcher/pick.go
@@ -16,12 +16,14 @@
 	// own region and in the others to take the best; at most 2.
 	nearSamples = 2
 	farSamples  = 1
-	// prefillShare is the part of the route's target latency that an engine may spend
-	// on the prompts ahead of and including a request's own, over all gateways.
-	prefillShare = 0.6
-	// prefillCost is added to the relative load of an engine whose pending prompts
-	// take the whole target latency to process.
-	prefillCost = 2
+	// maxPrefill is the processing time of the prompts that all gateways together may have
+	// pending at an engine: the interval of its reports, so that it is busy until the next one
+	// tells how far it is. Further prompts would wait there in the order of their arrival; in
+	// the queue they go by their callers' time, and to the engine that is free first.
+	maxPrefill = 200 * time.Millisecond
+	// prefillCost is added to the relative load of an engine with maxPrefill pending, which
+	// like a full one takes no more.
+	prefillCost = 1
 	// oldVersionCost is added for an engine that has yet to load a newer version, as
 	// loading may interrupt its streams.
 	oldVersionCost = 0.2
@@ -114,7 +116,7 @@
 	try := func(l []*node, draws int) {
 		drawn, k := sample(len(l), draws)
 		for _, i := range drawn[:k] {
-			if s := d.score(p, l[i], r, now); best == nil || s < low {
+			if s := d.score(p, l[i], now); best == nil || s < low {
 				best, low = l[i], s
 			}
 		}
@@ -145,22 +147,19 @@
 	if r.Resumed || n.prefill == 0 {
 		return true
 	}
-	room := d.prefillLimit(n, r) - n.prefill
+	room := d.prefillLimit(n) - n.prefill
 	d.room = max(d.room, room)
 	return p.prefillTime(r) <= room
 }
 
 // score returns the relative load of an endpoint plus the costs of distance,
 // failures, an old version and pending prompts; the lowest is best.
-func (d *Dispatcher) score(p *pool, n *node, r Request, now time.Time) float64 {
+func (d *Dispatcher) score(p *pool, n *node, now time.Time) float64 {
 	s := float64(n.load(now, d.gateways))/float64(n.limit()) + d.distanceCost(n) + failureCost*n.failureRate
 	if p.model != "" && n.version(p.model, now) < p.target.Version {
 		s += oldVersionCost
 	}
-	if aim := r.Match.Route.Aim; aim > 0 {
-		s += prefillCost * float64(n.prefill) / float64(aim)
-	}
-	return s
+	return s + prefillCost*float64(n.prefill)/float64(maxPrefill)
 }
 
 // prefillTime returns the estimated time that an engine takes to process the prompt.
@@ -174,8 +173,8 @@
 // prefillLimit returns the prompt processing time that this gateway may have pending
 // at an engine. An engine processes prompts one after the other, and all gateways that
 // send to it may choose it before its reports show them each other's requests.
-func (d *Dispatcher) prefillLimit(n *node, r Request) time.Duration {
-	return time.Duration(prefillShare * float64(r.Match.Route.Aim) / float64(d.sharers(n)))
+func (d *Dispatcher) prefillLimit(n *node) time.Duration {
+	return maxPrefill / time.Duration(d.sharers(n))
 }
 
 func (d *Dispatcher) distanceCost(n *node) float64 {
