forwarder, dispatcher: an endpoint is silent by what is usual and by the caller's time, not by the target latency

Callers saw: another endpoint was asked beside a silent one after four target latencies: after 1.6 s at a target of 400 ms, when callers of a stream leave after 2 s, and not before 4 s at a target of a second, however soon the route's requests usually begin. Cause: firstByteLatencyFactor. That callers wait for four targets at least is a reason to be done by then, not to begin then. Change: Lease.SilentAfter: three times (the factor by which an engine counts as stalled) what requests of the route usually take to begin, with the prompt; 1.2 s at least, as a sound endpoint may be silent for as long; and soon enough that another one can begin before the caller leaves. TestUnfinishedEventsInMemory and TestSilentAttemptsCount set a target to move this time; the first now has routes of one attempt, so that nothing is asked again, the second needs nothing.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -155,6 +155,9 @@
 		return w.waitEnds()
 	case "wait":
 		return w.waitEnds()
+	case "silent-after":
+		l := w.leases[f[1]]
+		return l[len(l)-1].SilentAfter().Round(10 * time.Millisecond).String()
 	}
 	w.d.Update()
 	return ""
--- a/dispatcher/work.go
+++ b/dispatcher/work.go
@@ -13,6 +13,9 @@
 	// overload requests begin near their latest start, so the others run in vain.
 	usualDeviations  = 1
 	likelyDeviations = 2
+	// minSilence is the time without a byte from which an endpoint may count as silent. A sound
+	// one may be that long, for example an engine that preempts a request.
+	minSilence = 1200 * time.Millisecond
 	// answerTime is the time that a refusal takes to reach its caller.
 	answerTime = 50 * time.Millisecond
 	// maxRoutes bounds the routes whose work is known.
@@ -95,3 +98,17 @@
 	}
 	w.overhead.observe(max(time.Microsecond, begun.Sub(l.sentAt)-p.prefillTime(l.request)))
 }
+
+// SilentAfter returns how long after the request was sent its endpoint counts as silent if no
+// part of the response has come: stallFactor times what requests of the route usually take to
+// begin, but soon enough that another endpoint can begin before the caller leaves.
+func (l *Lease) SilentAfter() time.Duration {
+	l.d.mu.Lock()
+	defer l.d.mu.Unlock()
+	p, r := l.pool, l.request
+	var usual time.Duration
+	if p.work[r.Match.Route.Name] != nil {
+		usual, _ = p.workOf(r, usualDeviations)
+	}
+	return max(minSilence, min(stallFactor*usual, p.latestStart(r).Sub(l.sentAt)))
+}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -169,7 +169,7 @@
 	if err := a.conn.SetReadDeadline(a.call.deadline); err != nil {
 		return unknownOutcome("send request", err)
 	}
-	a.expect(a.hear().Add(a.firstPartTimeout()))
+	a.expect(a.hear().Add(a.lease.SilentAfter()))
 	r, err := a.readHeaders() //nolint:bodyclose // Close would read the rest of the body; the connection is closed instead.
 	if err != nil {
 		return unknownOutcome("read response", err)
@@ -230,7 +230,7 @@
 func (w requestWriter) Write(b []byte) (int, error) {
 	a, n := w.attempt, 0
 	for n < len(b) {
-		a.expect(a.hear().Add(a.firstPartTimeout()))
+		a.expect(a.hear().Add(a.lease.SilentAfter()))
 		k, err := a.conn.Write(b[n:min(n+requestPartBytes, len(b))])
 		if n += k; err != nil {
 			return n, err
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -16,14 +16,9 @@
 
 // Timeouts of an attempt that may be followed by another one.
 const (
-	// firstByteLatencyFactor times the target latency of the route is the time to the
-	// first byte of a response after which another endpoint is tried as well.
-	firstByteLatencyFactor = 4
-	// minFirstByteTimeout keeps a short target latency from causing retries of requests
-	// that a slow endpoint is still processing.
-	minFirstByteTimeout = 1200 * time.Millisecond
 	// eventGapFactor times the target gap between events is the pause after which another
-	// endpoint is asked to resume the stream as well. Callers give up after eight gaps.
+	// endpoint is asked to resume the stream as well. Callers abandon it after patienceGaps, so
+	// the other endpoint has as long.
 	eventGapFactor = 4
 	// minEventTimeout exceeds the pause of an engine that preempts a request.
 	minEventTimeout = 1200 * time.Millisecond
@@ -104,17 +99,11 @@
 // isLastAttempt reports whether no further attempt can follow the current one.
 func (c *call) isLastAttempt() bool { return c.isAtMostOnce() || c.tries+1 >= c.match.Route.Attempts }
 
-// firstPartTimeout returns how long an endpoint may take until the first byte of its response
-// before it counts as silent.
-func (a *attempt) firstPartTimeout() time.Duration {
-	return max(firstByteLatencyFactor*a.call.match.Route.Aim, minFirstByteTimeout)
-}
-
 // eventTimeout returns how long an endpoint may take until its next event before it counts
 // as silent.
 func (a *attempt) eventTimeout() time.Duration {
 	if !a.begun {
-		return a.firstPartTimeout()
+		return a.lease.SilentAfter()
 	}
 	return max(eventGapFactor*a.call.match.Route.Gap, minEventTimeout)
 }
--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -149,7 +149,7 @@
 	f, all := newHandler(t, callers/4)
 	c := configurationWithTimeout(5 * time.Minute)
 	for i := range c.Routes {
-		c.Routes[i].Aim = time.Minute
+		c.Routes[i].Attempts = 1
 	}
 	patient := resolver.New(c)
 	f.Table = func() *resolver.Table { return patient }
--- a/forwarder/tries_test.go
+++ b/forwarder/tries_test.go
@@ -32,7 +32,7 @@
 	const attempts, timeout = 5, 1200 * time.Millisecond
 	f, all := newHandlerWithTimeout(t, attempts+2, 12*time.Second)
 	r := &f.Table().Configuration.Routes[0]
-	r.Attempts, r.Aim = attempts, timeout/8
+	r.Attempts = attempts
 	f.Budget = forwarder.Budget{Share: 10, Burst: func() float64 { return 10 }}
 	f.Log = zerolog.New(&slowLog{delay: timeout})
 	// The log is written from 3.5 to 4.5 and from 5 to 6 timeouts after the first request. The
