dispatcher, forwarder: Retry-After tells when a slot is expected, in the caller's time

Callers saw: 0.8 s at least when the endpoints were full, 2 s when none had weights and 1 s otherwise, whatever the queue was and whatever time they had left. All who were refused at one moment were told to come back at one moment, and a caller with 3 s left was told 2 s, of which it waits one. Cause: fixed times (fullRetryAfter, noEndpointRetryAfter, defaultRetryAfter). Change: a refused caller comes back when the queue will have reached it, one after the other as slots are expected; after a third of its remaining time at the latest, which is what callers honour, and while its work still fits. Where that third is too short, or no endpoint has weights, the times are spread over its later half. Refusals that only this gateway gives (it stops, or has no room for the body) send the caller to another one at once, as it comes back on a new connection.

--- a/dispatcher/availability.go
+++ b/dispatcher/availability.go
@@ -172,10 +172,10 @@
 	defer d.mu.Unlock()
 	p := d.pools[r.Service]
 	if p == nil {
-		return refuse(classifier.Unavailable, "no-endpoint", noEndpointRetryAfter)
+		return p.refuseUnserved(r, d.now())
 	}
 	now := d.now()
-	return d.prospect(p, r, now).check(p.latestStart(r), now)
+	return d.prospect(p, r, now).check(p, &waiter{request: r, latest: p.latestStart(r)}, now)
 }
 
 // prospect tells when an endpoint may serve requests with the same constraints.
@@ -205,13 +205,13 @@
 	return s
 }
 
-// check returns the error with which a request is refused that has to be sent at latest, or
-// nil: no endpoint may serve it by then, and none is about to load its weights.
-func (s prospect) check(latest, now time.Time) error {
+// check returns the error with which a request is refused because no endpoint may serve it by
+// its latest start, and none is about to load its weights; nil if one may.
+func (s prospect) check(p *pool, w *waiter, now time.Time) error {
 	switch {
 	case !s.allowed && !s.loading:
-		return refuse(classifier.Unavailable, "no-endpoint", noEndpointRetryAfter)
-	case s.allowed && s.back.After(now) && s.back.After(latest):
+		return p.refuseUnserved(w.request, now)
+	case s.allowed && s.back.After(now) && s.back.After(w.latest):
 		return refuse(classifier.Unavailable, "paused", s.back.Sub(now))
 	}
 	return nil
@@ -232,7 +232,7 @@
 		if len(w.request.Exclude) == 0 {
 			known[k] = s
 		}
-		if err := s.check(w.latest, now); err != nil {
+		if err := s.check(p, w, now); err != nil {
 			w.granted <- waitResult{err: err}
 			continue
 		}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -257,7 +257,7 @@
 	now := d.now()
 	p := d.pools[r.Service]
 	if p == nil {
-		return nil, nil, refuse(classifier.Unavailable, "no-endpoint", noEndpointRetryAfter)
+		return nil, nil, p.refuseUnserved(r, now)
 	}
 	// Free slots go to queued requests first. Slots that these can't use, for
 	// example because of their regions, are available to this request.
--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -22,11 +22,6 @@
 	// request has to be earlier than its latest start to be queued. Those in the queue need
 	// none, so that small changes of the rate don't refuse what was just accepted.
 	acceptDeviations = 1
-	// fullRetryAfter is the minimum Error.RetryAfter if all endpoints are full.
-	fullRetryAfter = 800 * time.Millisecond
-	// noEndpointRetryAfter is Error.RetryAfter if no endpoint may be used; weights take
-	// a few seconds to arrive.
-	noEndpointRetryAfter = 2 * time.Second
 	// overloadWindow is how long the service counts as overloaded after a refusal for lack
 	// of a slot; about the time in which a slot becomes free.
 	overloadWindow = time.Second
@@ -78,6 +73,9 @@
 	reportedAt time.Time
 	// refusedAt is when a request was last refused for lack of a slot.
 	refusedAt time.Time
+	// returnAt is the time up to which refused callers have been told to come back one after
+	// the other.
+	returnAt time.Time
 	// model is the model of the engines; empty for a service without engines.
 	model string
 	// readRate is the number of prompt tokens that an engine processes per second.
@@ -112,6 +110,12 @@
 	return sort.Search(len(p.queue), func(i int) bool { return compareWaiters(p.queue[i], w) > 0 })
 }
 
+// ahead returns the number of queued requests that precede one with more time to spare, as a
+// caller has that comes back.
+func (p *pool) ahead(r Request) int {
+	return sort.Search(len(p.queue), func(i int) bool { return p.queue[i].rank > r.rank() })
+}
+
 // remove takes a waiter off the queue and reports whether it was there.
 func (p *pool) remove(w *waiter) bool {
 	i := slices.Index(p.queue, w)
@@ -125,12 +129,6 @@
 // overloadWindow.
 func (p *pool) isOverloaded(now time.Time) bool { return now.Sub(p.refusedAt) < overloadWindow }
 
-// refuseFull returns the error of a request refused for lack of a slot, and records the time.
-func (p *pool) refuseFull(now time.Time, reason string, after time.Duration) error {
-	p.refusedAt = now
-	return refuse(classifier.Exhausted, reason, after)
-}
-
 // rate returns the number of this gateway's requests that got a slot per second while others
 // waited; 0 if that isn't known. Slots that were given before say how many requests came, not
 // how many could be served, and during an outage none are.
@@ -165,18 +163,19 @@
 
 // expectedWait returns the time in which n queued requests get their slots at the rate, plus a
 // number of standard deviations of it; 0 if the rate isn't known.
-func expectedWait(n, rate, deviations float64) time.Duration {
+func expectedWait(n int, rate, deviations float64) time.Duration {
 	if rate <= 0 {
 		return 0
 	}
-	return time.Duration((n + deviations*math.Sqrt(n)) / rate * float64(time.Second))
+	k := float64(n)
+	return time.Duration((k + deviations*math.Sqrt(k)) / rate * float64(time.Second))
 }
 
 // checkWait returns an error if no endpoint may serve the request, the queue is full
 // or the request can't be served in its caller's time.
 func (d *Dispatcher) checkWait(p *pool, w *waiter, now time.Time) error {
 	r := w.request
-	if err := d.prospect(p, r, now).check(w.latest, now); err != nil {
+	if err := d.prospect(p, r, now).check(p, w, now); err != nil {
 		return err
 	}
 	usable, soon := 0, false
@@ -187,17 +186,14 @@
 		soon = soon || d.isAllowed(p, n, r, now)
 	}
 	if !soon {
-		return refuse(classifier.Unavailable, "no-endpoint", noEndpointRetryAfter)
+		return p.refuseUnserved(r, now)
 	}
 	left := w.latest.Sub(now)
 	if left <= 0 || len(p.queue) >= maxQueue {
-		return p.refuseFull(now, "full", fullRetryAfter)
-	}
-	if usable == 0 {
-		return nil
+		return p.refuseFull(r, p.ahead(r), now, "full")
 	}
-	if wait := expectedWait(float64(p.place(w)+1), p.rate(now), acceptDeviations); wait > left {
-		return p.refuseFull(now, "queue-too-long", max(fullRetryAfter, wait))
+	if usable > 0 && expectedWait(p.place(w)+1, p.rate(now), acceptDeviations) > left {
+		return p.refuseFull(r, p.ahead(r), now, "queue-too-long")
 	}
 	return nil
 }
@@ -211,12 +207,11 @@
 	rate := p.rate(now)
 	kept := p.queue[:0]
 	for _, w := range p.queue {
-		wait := expectedWait(float64(len(kept)+1), rate, 0)
 		switch {
 		case now.After(w.latest):
-			w.granted <- waitResult{err: p.refuseFull(now, "waited", max(fullRetryAfter, wait))}
-		case now.Add(wait).After(w.latest):
-			w.granted <- waitResult{err: p.refuseFull(now, "queue-too-long", max(fullRetryAfter, wait))}
+			w.granted <- waitResult{err: p.refuseFull(w.request, len(kept), now, "waited")}
+		case now.Add(expectedWait(len(kept)+1, rate, 0)).After(w.latest):
+			w.granted <- waitResult{err: p.refuseFull(w.request, len(kept), now, "queue-too-long")}
 		default:
 			kept = append(kept, w)
 		}
@@ -248,7 +243,7 @@
 func (d *Dispatcher) refuseWaited(w *waiter) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return w.pool.refuseFull(d.now(), "waited", fullRetryAfter)
+	return w.pool.refuseFull(w.request, w.pool.ahead(w.request), d.now(), "waited")
 }
 
 // cancelWait removes the waiter from the queue, or returns the end of its wait if that has
--- /dev/null
+++ b/dispatcher/return.go
@@ -0,0 +1,93 @@
+package dispatcher
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
+)
+
+const (
+	// honouredShare is the part of its remaining time up to which a caller waits as told
+	// before it comes back.
+	honouredShare = 1.0 / 3
+	// weightsTime is when weights are expected if no endpoint has them; they take a few seconds
+	// to arrive.
+	weightsTime = 2 * time.Second
+)
+
+// maxReturn returns the latest time after which a refused caller comes back as told and can
+// still be served.
+func (p *pool) maxReturn(r Request, now time.Time) time.Duration {
+	left := r.Deadline.Sub(now)
+	d := time.Duration(honouredShare * float64(left))
+	if p != nil {
+		if _, end := p.workOf(r, usualDeviations); left > end {
+			d = min(d, left-end)
+		}
+	}
+	return max(0, d)
+}
+
+// refuseFull returns the error of a request that is refused for lack of a slot with n requests
+// ahead of it, and records the time.
+func (p *pool) refuseFull(r Request, n int, now time.Time, reason string) error {
+	p.refusedAt = now
+	return refuse(classifier.Exhausted, reason, p.returnAfter(r, n, now))
+}
+
+// returnAfter returns when the caller of a refused request is to come back that has n requests
+// ahead of it: when the queue will have reached it. Those who are refused one after the other
+// come back so: at one moment they would find slots for few of them.
+func (p *pool) returnAfter(r Request, n int, now time.Time) time.Duration {
+	latest := p.maxReturn(r, now)
+	slot := p.slotTime(r, now)
+	at := now.Add(time.Duration(n) * slot)
+	if p.returnAt.After(at) {
+		at = p.returnAt
+	}
+	at = at.Add(slot)
+	if at.Sub(now) > latest {
+		return spread(latest)
+	}
+	p.returnAt = at
+	return at.Sub(now)
+}
+
+// RetryAfter returns when the caller of a request is to come back that an endpoint has refused
+// and that is not sent to another one.
+func (d *Dispatcher) RetryAfter(r Request) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p, now := d.pools[r.Service], d.now()
+	if p == nil {
+		return p.refuseUnserved(r, now).RetryAfter
+	}
+	return p.returnAfter(r, p.ahead(r), now)
+}
+
+// slotTime returns the time between two slots that requests of this gateway get: by the rate of
+// the queue, and else by the usual time of the request and the number under way.
+func (p *pool) slotTime(r Request, now time.Time) time.Duration {
+	if rate := p.rate(now); rate > 0 {
+		return time.Duration(float64(time.Second) / rate)
+	}
+	running := 1
+	for _, n := range p.nodes {
+		running += n.inFlight
+	}
+	_, end := p.workOf(r, usualDeviations)
+	return end / time.Duration(running)
+}
+
+// refuseUnserved returns the error of a request that no endpoint may serve. The pool is nil if
+// the service has no endpoints.
+func (p *pool) refuseUnserved(r Request, now time.Time) *Error {
+	return refuse(classifier.Unavailable, "no-endpoint", spread(min(weightsTime, p.maxReturn(r, now))))
+}
+
+// spread returns a random time in the later half of d, so that callers who were refused at one
+// moment don't come back at one.
+func spread(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Float64()*float64(d-d/2))
+}
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -32,11 +32,11 @@
 	case v.response != nil && v.response.header == nil:
 		c.answerStatus(v.response.status, "endpoint-refused", v.err)
 	case v.outcome == retrier.NotRun && c.isStopped():
-		c.refuse(stopping, stopRetryAfter)
+		c.refuse(stopping, otherGatewayRetryAfter)
 	case c.ctx.Err() != nil:
 		c.answerStatus(http.StatusGatewayTimeout, c.endReason(), c.ctx.Err())
 	case v.outcome == retrier.NotRun:
-		c.refuse(reason, defaultRetryAfter)
+		c.refuse(reason, c.handler.Dispatcher.RetryAfter(c.dispatcherRequest()))
 	default:
 		c.answerStatus(http.StatusBadGateway, reason, v.err)
 	}
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -32,9 +32,9 @@
 	minPatience  = 2 * time.Second
 	patienceAims = 4
 	patienceGaps = 8
-	// defaultRetryAfter is the Retry-After time where the dispatcher gives none, for
-	// example before the gateway has a configuration.
-	defaultRetryAfter = time.Second
+	// startRetryAfter is the Retry-After time of a gateway that has no configuration yet: after a
+	// loss of all power no gateway has one for about a second.
+	startRetryAfter = time.Second
 )
 
 // Budget limits the retries of all gateways to a share of the requests plus a
@@ -119,7 +119,7 @@
 	}
 	t := f.Table()
 	if t == nil {
-		c.refuse("no-configuration", defaultRetryAfter)
+		c.refuse("no-configuration", startRetryAfter)
 		return
 	}
 	c.revision = t.Configuration.Revision
@@ -131,7 +131,7 @@
 	defer func() { f.buffers.release(c.bufferedBytes.Load()) }()
 	c.prepare(q, m)
 	if !c.endsInTime() {
-		c.refuse(stopping, stopRetryAfter)
+		c.refuse(stopping, otherGatewayRetryAfter)
 		return
 	}
 	if !c.readBody(q, t.Configuration.Limits.BodyBytes) {
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -33,7 +33,7 @@
 	}
 	b, err := c.readBuffered(http.MaxBytesReader(c.w, q.Body, limit), limit)
 	if errors.Is(err, errNoBufferSpace) {
-		c.refuse("no-room-for-body", defaultRetryAfter)
+		c.refuse("no-room-for-body", otherGatewayRetryAfter)
 		return false
 	}
 	if err == nil {
@@ -44,7 +44,7 @@
 		return true
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.handler.stopper.IsCut() {
-		c.refuse(stopping, stopRetryAfter)
+		c.refuse(stopping, otherGatewayRetryAfter)
 		return false
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -301,7 +301,7 @@
 	}
 	if c.tries == 0 || last.outcome == retrier.NotRun && !c.started {
 		if c.isStopped() {
-			c.refuse(stopping, stopRetryAfter)
+			c.refuse(stopping, otherGatewayRetryAfter)
 			return
 		}
 		if c.ctx.Err() == nil {
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -15,9 +15,9 @@
 const (
 	// stopping is the reason of a refusal because a request may not end before the gateway does.
 	stopping = "stopping"
-	// stopRetryAfter is the Retry-After time of such a refusal. Another gateway may serve the
-	// request at once.
-	stopRetryAfter = 50 * time.Millisecond
+	// otherGatewayRetryAfter is the Retry-After time of a refusal that only this gateway gives.
+	// Callers come back on a new connection, by which another one may serve them at once.
+	otherGatewayRetryAfter = 50 * time.Millisecond
 )
 
 // errStopping ends an attempt before any byte is sent.
@@ -60,7 +60,7 @@
 // startAttemptInTime makes an attempt unless it may not end before a planned stop cuts it.
 func (c *call) startAttemptInTime() error {
 	if !c.endsInTime() {
-		return &dispatcher.Error{Op: "acquire", Kind: classifier.Unavailable, Reason: stopping, RetryAfter: stopRetryAfter, Err: errStopping}
+		return &dispatcher.Error{Op: "acquire", Kind: classifier.Unavailable, Reason: stopping, RetryAfter: otherGatewayRetryAfter, Err: errStopping}
 	}
 	return c.startAttempt()
 }
