stopper: a stream that may be cut in a planned stop is refused from the order on

Callers saw: a stream that came in the first 2.5 s of a planned stop was begun if its route's requests usually end in time, and broken off at the cut if it was longer; one that came later was sent to another gateway. Cause: lateStream followed the time within which such a stream isn't counted as lost. For its caller it is lost at any time. Change: a stream begins in a stop only if its deadline is before the cut; else it is refused at once, and another gateway serves it.

--- a/internal/stopper/stopper.go
+++ b/internal/stopper/stopper.go
@@ -45,16 +45,12 @@
 	Stream bool
 }
 
-// lateStream is the time from the beginning of a stop from which on a stream is begun only if it
-// surely ends before the cut. Callers had the time to go to another process until then, and a
-// response that Cut breaks off counts as lost.
-const lateStream = 2500 * time.Millisecond
-
 // EndsInTime reports whether the request ends before a planned stop cuts it, if it is sent
-// now: surely if it may run once only, or is a stream that comes late in the stop, and otherwise if
-// it takes no longer than usual. Where the
-// usual time isn't known, only requests that began before the stop are taken for ones that do. A
-// stream that the caller has begun to read goes on until the cut, as nobody else can continue it.
+// now: surely if it may run once only or is a stream, and otherwise if it takes no longer than
+// usual. Streams differ by their prompts and answers, and a cut breaks them off, while another
+// process can serve one that is refused. Where the usual time isn't known, only requests that
+// began before the stop are taken for ones that do. A stream that the caller has begun to read
+// goes on until the cut, as nobody else can continue it.
 func (s *Stopper) EndsInTime(r Request) bool {
 	p := s.stop.Load()
 	if p == nil || !r.Deadline.After(p.cut) {
@@ -64,7 +60,7 @@
 	switch d, known := s.usual(r.Name); {
 	case r.Started:
 		return now.Before(p.cut)
-	case r.AtMostOnce, r.Stream && r.Begun.Sub(p.began) >= lateStream:
+	case r.AtMostOnce, r.Stream:
 		return false
 	case known:
 		return !now.Add(d).After(p.cut)
