dispatcher, direct: the delay in a link counts by what a request loses there, not by the targets of routes

Callers saw: two engines of equal load got requests alike, though bytes waited 0.3 s in the link of one; above 0.5 s it got none. Both that figure and the 0.25 s of chunks in flight were explained by the target latencies of most routes. Cause: the delay was a threshold only. Change: it counts in the choice like as much pending prompt, as the request begins later by it. The thresholds have the reason that holds: a request in the link must not arrive more than half a second after its caller left (GONE).

--- a/dispatcher/link.go
+++ b/dispatcher/link.go
@@ -3,7 +3,8 @@
 import "time"
 
 // slowLink is the delay in the link of an instance from which its endpoint is the last
-// resort. It exceeds the aims of most routes.
+// resort. A request in the link still arrives after its caller has left, and must not do so
+// more than half a second later.
 const slowLink = 500 * time.Millisecond
 
 // linkDelay returns how long a request waits in the link of the endpoint's instance; 0 if
--- a/dispatcher/pick.go
+++ b/dispatcher/pick.go
@@ -22,7 +22,7 @@
 	// the queue they go by their callers' time, and to the engine that is free first.
 	maxPrefill = 200 * time.Millisecond
 	// prefillCost is added to the relative load of an engine with maxPrefill pending, which
-	// like a full one takes no more.
+	// like a full one takes no more, or with as long a delay in its link.
 	prefillCost = 1
 	// oldVersionCost is added for an engine that has yet to load a newer version, as
 	// loading may interrupt its streams.
@@ -153,13 +153,13 @@
 }
 
 // score returns the relative load of an endpoint plus the costs of distance,
-// failures, an old version and pending prompts; the lowest is best.
+// failures, an old version, pending prompts and the delay in its link; the lowest is best.
 func (d *Dispatcher) score(p *pool, n *node, now time.Time) float64 {
 	s := float64(n.load(now, d.gateways))/float64(n.limit()) + d.distanceCost(n) + failureCost*n.failureRate
 	if p.model != "" && n.version(p.model, now) < p.target.Version {
 		s += oldVersionCost
 	}
-	return s + prefillCost*float64(n.prefill)/float64(maxPrefill)
+	return s + prefillCost*float64(n.prefill+n.linkDelay(now))/float64(maxPrefill)
 }
 
 // prefillTime returns the estimated time that an engine takes to process the prompt.
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -68,8 +68,9 @@
 	maxSentChunks = 2
 	// maxIdlePeerChunks is the same as maxPeerChunks while the engine serves nothing.
 	maxIdlePeerChunks = 6
-	// maxChunkDelay is the time that the chunks asked for may take to arrive; shorter than
-	// the aims of most routes.
+	// maxChunkDelay is the time that the chunks asked for may take to arrive. A request behind
+	// them must not reach the engine more than half a second after its caller left, so half of
+	// that is left to the requests and responses in the link.
 	maxChunkDelay = 250 * time.Millisecond
 	// maxOriginReads limits the concurrent reads of one agent from the origin.
 	maxOriginReads = 2
