--- a/observer/endpoints.go
+++ b/observer/endpoints.go
@@ -10,7 +10,8 @@
 )
 
 // lapsedEntryRetention is how long after the last failed read an endpoint is kept whose
-// entry expired while the platform was unavailable.
+// entry expired while the platform was unavailable. Endpoints that are alive are listed again
+// within two seconds.
 const lapsedEntryRetention = 1900 * time.Millisecond
 
 // ListFailed records that the list of endpoints could not be read from the platform.
--- a/resolver/configuration.go
+++ b/resolver/configuration.go
@@ -51,7 +51,8 @@
 	// Timeout is the maximum time that a request waits for its response; above 0.
 	Timeout time.Duration
 	// Aim is the target latency: the time within which the first byte of the response
-	// is due.
+	// is due. Callers wait longer, so it decides nothing but how long they wait for a stream at
+	// least.
 	Aim time.Duration
 	// Gap is the target for the time between two events of a stream; a longer pause is
 	// late. It is 0 if the route is not streaming.
