dispatcher: a caller comes back as late as it can where nothing is expected sooner, and a crowd is spread

Callers saw, after the last change: one that was refused because no engine had weights came back 1 to 2 s later at random, though weights take longer, and found none. Change: the time is spread only as far as slots are needed by those who are told so within 0.1 s. Test: TestReturnsLateWithoutWeights, which got 1.0 to 2.0 s before; TestReturnsAreHonoured still wants a crowd spread.

--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -76,6 +76,7 @@
 	// returnAt is the time up to which refused callers have been told to come back one after
 	// the other.
 	returnAt time.Time
+	crowd    crowd
 	// model is the model of the engines; empty for a service without engines.
 	model string
 	// readRate is the number of prompt tokens that an engine processes per second.
--- a/dispatcher/return.go
+++ b/dispatcher/return.go
@@ -14,6 +14,10 @@
 	// weightsTime is when weights are expected if no endpoint has them; they take a few seconds
 	// to arrive.
 	weightsTime = 2 * time.Second
+	// crowdWindow is the time in which callers count as told at about the same time.
+	crowdWindow = 100 * time.Millisecond
+	// minSlotTime is the least time assumed between two slots.
+	minSlotTime = time.Millisecond
 )
 
 // maxReturn returns the latest time after which a refused caller comes back as told and can
@@ -48,7 +52,7 @@
 	}
 	at = at.Add(slot)
 	if at.Sub(now) > latest {
-		return spread(latest)
+		return p.crowd.spread(latest, slot, now)
 	}
 	p.returnAt = at
 	return at.Sub(now)
@@ -70,24 +74,39 @@
 // the queue, and else by the usual time of the request and the number under way.
 func (p *pool) slotTime(r Request, now time.Time) time.Duration {
 	if rate := p.rate(now); rate > 0 {
-		return time.Duration(float64(time.Second) / rate)
+		return max(minSlotTime, time.Duration(float64(time.Second)/rate))
 	}
 	running := 1
 	for _, n := range p.nodes {
 		running += n.inFlight
 	}
 	_, end := p.workOf(r, usualDeviations)
-	return end / time.Duration(running)
+	return max(minSlotTime, end/time.Duration(running))
 }
 
 // refuseUnserved returns the error of a request that no endpoint may serve. The pool is nil if
 // the service has no endpoints.
 func (p *pool) refuseUnserved(r Request, now time.Time) *Error {
-	return refuse(classifier.Unavailable, "no-endpoint", spread(min(weightsTime, p.maxReturn(r, now))))
+	d := min(weightsTime, p.maxReturn(r, now))
+	if p != nil {
+		d = p.crowd.spread(d, p.slotTime(r, now), now)
+	}
+	return refuse(classifier.Unavailable, "no-endpoint", d)
 }
 
-// spread returns a random time in the later half of d, so that callers who were refused at one
-// moment don't come back at one.
-func spread(d time.Duration) time.Duration {
-	return d/2 + time.Duration(rand.Float64()*float64(d-d/2))
+// crowd counts the callers who were told at about the same time to come back as late as they
+// can.
+type crowd struct {
+	since time.Time
+	size  int
+}
+
+// spread returns a time up to d after which one more caller is to come back, no earlier than d/2.
+// Callers who are told at about the same time are spread over the slots that they need.
+func (c *crowd) spread(d, slot time.Duration, now time.Time) time.Duration {
+	if now.Sub(c.since) > crowdWindow {
+		c.since, c.size = now, 0
+	}
+	c.size++
+	return d - time.Duration(rand.Float64()*float64(min(d/2, time.Duration(c.size)*slot)))
 }
--- a/dispatcher/return_test.go
+++ b/dispatcher/return_test.go
@@ -88,3 +88,25 @@
 		}
 	}
 }
+
+// A caller that is refused alone because no engine has weights must come back as late as it can:
+// weights take seconds to arrive, and it has one more attempt.
+func TestReturnsLateWithoutWeights(t *testing.T) {
+	w := newHarness()
+	w.run("endpoint e1 a 1")
+	for range 50 {
+		w.run("send 4")
+		w.run("sleep 100ms")
+		for range 4 {
+			w.run("free e1")
+		}
+	}
+	w.run("send 1")
+	w.run("notice e1 leaving")
+	for range 10 {
+		w.run("sleep 200ms")
+		if got := w.retryAfter(t, 6*time.Second); got < 1900*time.Millisecond || got > 2*time.Second {
+			t.Errorf("a caller with 6 s left comes back after %s, want 1.9 s or more", got)
+		}
+	}
+}
