--- a/dispatcher/work.go
+++ b/dispatcher/work.go
@@ -9,10 +9,11 @@
 	// averageWeight is the weight of one measurement in the averages.
 	averageWeight = 0.05
 	// usualDeviations is the number of mean deviations added to an average for a time that
-	// three of four requests keep, and likelyDeviations for one that 19 of 20 keep. Under
-	// overload requests begin near their latest start, so the others run in vain.
-	usualDeviations  = 1
-	likelyDeviations = 2
+	// three of four requests keep, and sureDeviations for one that 99 of 100 keep. Under
+	// overload every request begins near its latest start, and one that takes longer than
+	// assumed runs in vain.
+	usualDeviations = 1
+	sureDeviations  = 3
 	// minSilence is the time without a byte from which an endpoint may count as silent. A sound
 	// one may be that long, for example an engine that preempts a request.
 	minSilence = 1200 * time.Millisecond
@@ -65,7 +66,7 @@
 // latestStart returns when the request has to be sent so that the caller is still there when
 // its response begins and ends.
 func (p *pool) latestStart(r Request) time.Time {
-	begin, end := p.workOf(r, likelyDeviations)
+	begin, end := p.workOf(r, sureDeviations)
 	if r.Resumed {
 		// How much of the answer is left isn't known.
 		end = begin
