dispatcher: the rate of the queue isn't measured over a pause

Callers would have seen, found by reading: after a pause of a gateway, or of all endpoints, requests that could still be served were refused as queue-too-long, since no slot had been given in that time and the rate of the queue counted it. Change: the rate is that since the last time at which a request waited for something else than a slot.

--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -18,6 +18,8 @@
 	// the time of waiting from which it is known.
 	rateWindow  = 2 * time.Second
 	minRateTime = 500 * time.Millisecond
+	// maxUpdatePause is the time between two updates from which the process counts as paused.
+	maxUpdatePause = 300 * time.Millisecond
 	// acceptDeviations is the number of standard deviations of the expected wait by which a
 	// request has to be earlier than its latest start to be queued. Those in the queue need
 	// none, so that small changes of the rate don't refuse what was just accepted.
@@ -66,6 +68,9 @@
 	// when it was last empty.
 	queue        []*waiter
 	waitingSince time.Time
+	// updatedAt is when the pool was last updated, and blockedAt when requests last waited for
+	// something else than a slot: no endpoint might be used, or the process was paused.
+	updatedAt, blockedAt time.Time
 	// heldAt is when a request last found no endpoint that may be used, and heldSince when
 	// that state began.
 	heldAt, heldSince time.Time
@@ -132,14 +137,14 @@
 
 // rate returns the number of this gateway's requests that got a slot per second while others
 // waited; 0 if that isn't known. Slots that were given before say how many requests came, not
-// how many could be served, and during an outage none are.
+// how many could be served, and during an outage or a pause none are.
 func (p *pool) rate(now time.Time) float64 {
 	if len(p.queue) == 0 {
 		return 0
 	}
 	p.trim(now)
 	from := now.Add(-rateWindow)
-	for _, t := range []time.Time{p.waitingSince, p.heldAt} {
+	for _, t := range []time.Time{p.waitingSince, p.blockedAt, p.heldAt} {
 		if t.After(from) {
 			from = t
 		}
@@ -202,9 +207,14 @@
 // refuseLate refuses the queued requests that the queue won't reach in their callers' time, as
 // it has slowed since they were accepted. Those behind them move up.
 func (d *Dispatcher) refuseLate(p *pool, now time.Time) {
+	isPaused := now.Sub(p.updatedAt) > maxUpdatePause
+	p.updatedAt = now
 	if len(p.queue) == 0 {
 		return
 	}
+	if isPaused || !d.mayAssign(p, now) {
+		p.blockedAt = now
+	}
 	rate := p.rate(now)
 	kept := p.queue[:0]
 	for _, w := range p.queue {
@@ -221,6 +231,19 @@
 	p.queue = kept
 }
 
+// mayAssign reports whether the first queued request only waits for a slot.
+func (d *Dispatcher) mayAssign(p *pool, now time.Time) bool {
+	if !d.isCurrent() {
+		return false
+	}
+	for _, n := range p.nodes {
+		if d.isUsable(p, n, p.queue[0].request, now) {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Dispatcher) await(ctx context.Context, w *waiter) (*Lease, error) {
 	t := time.NewTimer(w.latest.Sub(w.since))
 	defer t.Stop()
