forwarder: TestStopRefusesWhatMayNotEnd wants streams refused that may be cut

It wanted a stream passed on in a stop if its route's requests usually end in time, which callers lose if it takes longer. It checks now that it is refused, and that one whose deadline is before the cut is served.

--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -85,7 +85,8 @@
 		{"any", 0, 0, http.StatusServiceUnavailable},
 		{"any", 0, 600 * time.Millisecond, http.StatusOK},
 		{"any", 4, 0, http.StatusOK},
-		{"resume", 4, 0, http.StatusOK},
+		{"resume", 4, 0, http.StatusServiceUnavailable},
+		{"resume", 0, 600 * time.Millisecond, http.StatusOK},
 	} {
 		f, all := newHandler(t, 1)
 		all[0].script = &script{}
