dispatcher: a request that waited for its engine to load says nothing about the work of others

Cause: requests that an engine had accepted before it loaded a version began 2 s later. A few of them raised the average time to the first token and its deviation so far that the latest start of every request of the route had passed when it arrived. Change: a request at whose engine the version has changed since isn't counted. Test: the last script of testdata/callers-time: 1.31 s before, as for an endpoint that begins late.

--- a/dispatcher/work.go
+++ b/dispatcher/work.go
@@ -81,8 +81,12 @@
 	return t
 }
 
-// observeWork adds a served request to those by which the work of its route is known.
+// observeWork adds a served request to those by which the work of its route is known. One that
+// waited for its engine to load another version says nothing about the time after it.
 func (p *pool) observeWork(l *Lease, now time.Time) {
+	if p.model != "" && l.node.version(p.model, now) != l.Version {
+		return
+	}
 	w := p.work[l.request.Match.Route.Name]
 	if w == nil {
 		if p.work == nil || len(p.work) >= maxRoutes {
