dispatcher: the work of a request has the deviations of independent times

Cause: three deviations of the time to the first token and three of the answer were added, as if a late beginning and a long answer always met. Change: they are added as those of independent times. Test: the last script of testdata/callers-time, refused before.

--- a/dispatcher/work.go
+++ b/dispatcher/work.go
@@ -50,17 +50,20 @@
 }
 
 // workOf returns the work of a request: the times from sending it to the first part of its
-// response and to the end, within the number of deviations.
+// response and to the end, within the number of deviations. A late beginning and a long answer
+// rarely meet, so the deviations of both are added as those of independent times.
 func (p *pool) workOf(r Request, deviations float64) (begin, end time.Duration) {
 	w := p.work[r.Match.Route.Name]
-	switch {
-	case w != nil:
-		begin = w.overhead.above(deviations) + p.prefillTime(r)
-		return begin, begin + time.Duration(max(1, r.Answer))*w.token.above(deviations)
-	case p.model != "":
-		begin = unknownBegin + p.prefillTime(r)
+	if w == nil {
+		if p.model != "" {
+			begin = unknownBegin + p.prefillTime(r)
+		}
+		return begin, begin
 	}
-	return begin, begin
+	tokens := float64(max(1, r.Answer))
+	mean := p.prefillTime(r) + w.overhead.above(0) + time.Duration(tokens*w.token.mean)
+	deviation := math.Hypot(w.overhead.deviation, tokens*w.token.deviation)
+	return p.prefillTime(r) + w.overhead.above(deviations), mean + time.Duration(deviations*deviation)
 }
 
 // latestStart returns when the request has to be sent so that the caller is still there when
