forwarder: the line endpoint-ended names the shared parts of the prompt

The line now has the ids of the shared parts, whether the answer had begun, and how long ago the request was sent. No decision depends on them yet.

--- a/forwarder/headers.go
+++ b/forwarder/headers.go
@@ -30,6 +30,9 @@
 	Tokens string
 	// ResumeFrom is the id of the last event that the caller has received.
 	ResumeFrom string
+	// PromptParts lists the parts of the prompt in order, as ID:TOKENS entries separated by
+	// commas. Requests share parts, but for the last one.
+	PromptParts string
 }
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
--- a/forwarder/isolate.go
+++ b/forwarder/isolate.go
@@ -74,7 +74,8 @@
 		return
 	}
 	i.Add(isolator.Ending{Digest: c.digest(), Process: processName(e), Began: time.Since(a.sentAt)})
-	c.handler.Log.Info().Str("request", c.id).Str("digest", c.digest().String()).Str("endpoint", e.ID).Msg("endpoint-ended")
+	c.handler.Log.Info().Str("request", c.id).Str("digest", c.digest().String()).Str("endpoint", e.ID).
+		Strs("parts", sharedParts(c.header.Get(c.handler.Headers.PromptParts))).Bool("begun", a.begun).Dur("sent-ms", time.Since(a.sentAt)).Msg("endpoint-ended")
 }
 
 // noteServed records that an endpoint has served the request.
