forwarder: an answer that ends with its process isn't whole

An answer may have neither a length nor chunks and end with its connection. If the process ends, the connection does too, and the answer looked whole: its caller got a part as the whole, and the isolator took the request for sound. Now such an answer counts as broken off if the endpoint's port refuses a new connection. TestEndings failed before: both callers got one event and a whole end (200), and the next request with the part was sent.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -309,6 +309,9 @@
 	a.conn.limitReads(2 * maxResponseBodyBytes)
 	defer a.conn.unlimitReads()
 	b, err := a.call.readBuffered(r.Body, maxResponseBodyBytes)
+	if err == nil && a.isCutByEnd() {
+		err = errProcessEnded
+	}
 	if err != nil {
 		return unknownOutcome("read response", err)
 	}
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -155,6 +155,9 @@
 	if !order.continues {
 		return unknownOutcome("read event", errors.Newf("resumed stream has no event after %q", order.last))
 	}
+	if a.isCutByEnd() {
+		return unknownOutcome("read event", errProcessEnded)
+	}
 	if !a.claim() {
 		return superseded()
 	}
--- a/forwarder/handler_test.go
+++ b/forwarder/handler_test.go
@@ -190,6 +190,20 @@
 	case "end":
 		_ = b.Close()
 		return false
+	case "end-at-close": // events until the connection and the process end
+		_, _ = io.WriteString(c, head("200 OK", id, "Content-Type: text/event-stream\r\n\r\n")+events(argument))
+		_ = b.Close()
+		return false
+	case "end-plain": // a body until the connection and the process end
+		_, _ = io.WriteString(c, head("200 OK", id, "\r\nhel"))
+		_ = b.Close()
+		return false
+	case "close": // events until the connection ends
+		_, _ = io.WriteString(c, head("200 OK", id, "Content-Type: text/event-stream\r\n\r\n")+events(argument))
+		return false
+	case "close-inside":
+		_, _ = io.WriteString(c, head("200 OK", id, "Content-Type: text/event-stream\r\n\r\n")+events(argument)+"id: 9\ndata: ha")
+		return false
 	case "large":
 		out = head("200 OK", id, fmt.Sprintf("Content-Length: %d\r\n\r\n", largeBody)) + strings.Repeat("x", largeBody)
 	case "hold":
