--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -62,7 +62,7 @@
 		Commands: []*cli.Command{
 			a.publishCommand(), a.applyCommand(), a.diffCommand(), a.checkCommand(), a.getCommand(), a.removeCommand(),
 			a.rolloutCommand(), a.domainCommand(), a.endpointCommand(), a.operationCommand(), a.handoverCommand(),
-			a.watchCommand(), a.keyCommand(), a.explainCommand(),
+			a.watchCommand(), a.keyCommand(), a.explainCommand(), a.holdsCommand(),
 		},
 	}
 }
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -205,6 +205,8 @@
 	ready.HandleFunc("GET "+g.Platform.ReadyPath, g.ready)
 	peers := http.NewServeMux()
 	peers.Handle("GET /v1/tables/{name}", g.follower.handler())
+	peers.Handle("/v1/holds", g.holds.handler())
+	peers.Handle("/v1/holds/", g.holds.handler())
 	all := []struct {
 		address netip.AddrPort
 		handler http.Handler
--- a/isolator/hold.go
+++ b/isolator/hold.go
@@ -225,6 +225,7 @@
 		return
 	}
 	if k.held {
+		k.serve(i.now())
 		i.release(k, i.after(k))
 	}
 	k.stored = true
