isolator, forwarder: a hold of another gateway is taken over unless its endings are counted here

A gateway that knew a part to be sound a moment ago didn't take over its hold. In a large fleet only a few gateways count endings, so a part that was sound and became faulty would have been sent on by the others for 30 s.

The parts of a prompt are told apart whatever their case, in however many header lines they are, and however long their ids are.

--- a/forwarder/isolate.go
+++ b/forwarder/isolate.go
@@ -39,9 +39,14 @@
 	return append(l, c.partSuspects()...)
 }
 
+// sharedParts returns the ids of the parts of the prompt that other requests may share.
+func (c *call) sharedParts() []string {
+	return sharedParts(c.header.Values(c.handler.Headers.PromptParts))
+}
+
 func (c *call) partSuspects() []isolator.Suspect {
 	var l []isolator.Suspect
-	for _, id := range sharedParts(c.header.Get(c.handler.Headers.PromptParts)) {
+	for _, id := range c.sharedParts() {
 		l = append(l, isolator.NewPart(id))
 	}
 	return l
@@ -157,7 +162,7 @@
 		c.handler.Isolator.Add(isolator.Ending{Suspect: s, Process: processName(e), Began: max(began, ended), Ended: ended})
 	}
 	c.handler.Log.Info().Str("request", c.id).Str("digest", c.suspects()[0].Digest.String()).Str("endpoint", e.ID).
-		Strs("parts", sharedParts(c.header.Get(c.handler.Headers.PromptParts))).Bool("begun", a.begun).Dur("sent-ms", began).Msg("endpoint-ended")
+		Strs("parts", c.sharedParts()).Bool("begun", a.begun).Dur("sent-ms", began).Msg("endpoint-ended")
 }
 
 // noteServed records that an endpoint has answered the request, if the answer was whole.
--- a/forwarder/prompt_parts.go
+++ b/forwarder/prompt_parts.go
@@ -1,17 +1,18 @@
 package forwarder
 
-import "strings"
-
-const (
-	// maxSharedParts bounds the parts of a prompt that are told apart.
-	maxSharedParts = 32
-	// maxPartIDBytes bounds the id of a part.
-	maxPartIDBytes = 64
+import (
+	"slices"
+	"strings"
 )
 
+// maxSharedParts bounds the parts of a prompt that are told apart.
+const maxSharedParts = 32
+
 // sharedParts returns the ids of the parts of a prompt that other requests may share: all but
-// the last one, which belongs to one request or session.
-func sharedParts(list string) []string {
+// the last one, which belongs to one request or session. An id is a number in hexadecimal, whose
+// case doesn't matter.
+func sharedParts(lists []string) []string {
+	list := strings.ToLower(strings.Join(lists, ","))
 	n := strings.LastIndexByte(list, ',')
 	if n < 0 {
 		return nil
@@ -19,7 +20,7 @@
 	var ids []string
 	for p := range strings.SplitSeq(list[:n], ",") {
 		id, _, _ := strings.Cut(strings.TrimSpace(p), ":")
-		if id != "" && len(id) <= maxPartIDBytes && len(ids) < maxSharedParts {
+		if id != "" && len(ids) < maxSharedParts && !slices.Contains(ids, id) {
 			ids = append(ids, id)
 		}
 	}
--- a/isolator/digest.go
+++ b/isolator/digest.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -50,13 +51,13 @@
 // Suspect is what requests have in common: their whole content, or one part of their prompts.
 type Suspect struct {
 	Digest Digest `json:"digest"`
-	// Part is the id of the part, of at most 64 bytes; empty for a content.
+	// Part is the id of the part, or the first 64 bytes of it; empty for a content.
 	Part string `json:"part,omitempty"`
 }
 
-// NewPart returns the suspect for a part of prompts.
+// NewPart returns the suspect for a part of prompts. The beginning of a long id names it.
 func NewPart(id string) Suspect {
-	return Suspect{Digest: DigestOf([]byte("part"), []byte(id)), Part: id}
+	return Suspect{Digest: DigestOf([]byte("part"), []byte(id)), Part: strings.ToValidUTF8(id[:min(len(id), maxPartBytes)], "")}
 }
 
 // check returns an error of kind Invalid if the id of the part is too long.
--- a/isolator/hold.go
+++ b/isolator/hold.go
@@ -59,7 +59,7 @@
 			return &Error{Op: op, Kind: classifier.Invalid, Err: errors.Newf("field processes: %d bytes", len(p))}
 		}
 	}
-	if err := v.Suspect.check(op); err != nil {
+	if err := v.check(op); err != nil {
 		return err
 	}
 	*h = Hold(v)
@@ -202,13 +202,14 @@
 		k.stored = stored
 		return
 	}
+	if !k.held && h.Trials == 0 && k.unserved() > 0 && i.sound.has(k.Digest, now) {
+		// This gateway counts the endings too, and the one that holds the suspect may not know
+		// that it was sound a moment ago.
+		return
+	}
 	for _, p := range h.Processes {
 		k.learnProcess(p, h.Changed)
 	}
-	if !k.held && h.Trials == 0 && i.sound.has(k.Digest, now) {
-		// The gateway that holds it may not know that it was sound a moment ago.
-		return
-	}
 	begins := !k.held
 	k.held, k.changed, k.until, k.trials, k.stored = true, h.Changed, h.Until, h.Trials, stored || isSame && k.stored
 	i.listChanged(begins, k)
