--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -94,6 +94,17 @@
 			}
 		}
 		return ""
+	case "began": // began GATEWAY AGO SUSPECT...: whole answers that began some time ago
+		d, _ := time.ParseDuration(f[2])
+		g.gateway(f[1]).Served(g.now.Add(-d), suspects(f[3:])...)
+		return ""
+	case "overlap": // overlap GATEWAY GAP SUSPECT PROCESS...: all were sent 1 s before the first end
+		d, _ := time.ParseDuration(f[2])
+		for n, p := range f[4:] {
+			g.gateway(f[1]).Add(isolator.Ending{Suspect: suspect(f[3]), Process: p, Began: time.Second + time.Duration(n)*d})
+			g.now = g.now.Add(d)
+		}
+		return ""
 	case "check": // check GATEWAY SUSPECT...: what becomes of a request with the suspects
 		v := g.gateway(f[1]).Check(suspects(f[2:])...)
 		switch {
