isolator, direct: reminders of a hold come from the gateways that decided it

With 640 gateways in one process (TestManyGatewaysCountTogether) a hold took 409,332 datagrams: each gateway that had learned of it reminded all others.

Two smaller faults, found by reading: a suspect that was held is released by an answer that began after its endings, also if that was before the hold was decided (script in part); a claim of several trials of which one fails gives back the others.

--- a/forwarder/isolate.go
+++ b/forwarder/isolate.go
@@ -119,8 +119,10 @@
 	if c.handler.ClaimTrial == nil {
 		return false
 	}
-	for _, d := range trial {
+	for n, d := range trial {
 		if !c.handler.ClaimTrial(c.ctx, d) {
+			c.trial = trial[:n]
+			c.endTrial(false)
 			return false
 		}
 	}
--- a/internal/direct/endings.go
+++ b/internal/direct/endings.go
@@ -81,7 +81,7 @@
 	}
 	if len(m.Holds) == 0 {
 		all = s.counters()
-	} else if h := m.Holds[0]; s.sent[h.Digest].Equal(h.Changed) {
+	} else if h := m.Holds[0]; m.IsReminder || s.sent[h.Digest].Equal(h.Changed) {
 		all = s.some(all)
 	} else {
 		if s.sent == nil || len(s.sent) > maxSent {
--- a/isolator/hold.go
+++ b/isolator/hold.go
@@ -265,7 +265,7 @@
 
 func (i *Isolator) release(k *suspect, at time.Time) {
 	wasHeld := k.held
-	k.held, k.changed, k.until, k.trials, k.stored = false, at, time.Time{}, 0, false
+	k.held, k.changed, k.until, k.trials, k.stored, k.decided = false, at, time.Time{}, 0, false, false
 	if wasHeld {
 		k.released = true
 		i.heldList = nil
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -178,7 +178,7 @@
 func (i *Isolator) hold(k *suspect, trials int) {
 	begins := !k.held
 	k.changed = i.after(k)
-	k.held, k.trials, k.stored = true, trials, false
+	k.held, k.trials, k.stored, k.decided = true, trials, false, true
 	k.until = k.changed.Add(i.holdTime(trials))
 	k.sentUntil = k.changed.Add(newsTime)
 	i.listChanged(begins, k)
@@ -202,8 +202,10 @@
 		i.trim(now)
 	}
 	k := &suspect{Suspect: s}
+	if o := i.suspects[s.Digest]; o != nil && o.held {
+		i.heldList = nil
+	}
 	i.suspects[s.Digest] = k
-	i.heldList = nil
 	i.known.Store(int32(len(i.suspects)))
 	return k
 }
@@ -219,6 +221,7 @@
 	for _, d := range l[:max(0, len(l)-maxSuspects*7/8)] {
 		delete(i.suspects, d)
 	}
+	i.heldList = nil
 }
 
 // isForgotten reports whether what is known against a suspect is too old to count.
@@ -257,7 +260,7 @@
 		// The gateways that saw the others may not learn that they were served.
 		k.endings[n].own = k.endings[n].own || k.endings[n].served
 	}
-	if k.held && k.unserved() == 0 && !k.changed.After(began) {
+	if k.held && k.unserved() == 0 && (cleared || !k.changed.After(began)) {
 		i.releaseOwn(k)
 	}
 	if cleared {
--- a/isolator/message.go
+++ b/isolator/message.go
@@ -51,6 +51,8 @@
 	Endings []Ending `json:"endings"`
 	// Holds holds at most one hold. A message has an ending or a hold.
 	Holds []Hold `json:"holds,omitempty"`
+	// IsReminder reports whether all gateways were sent the hold before.
+	IsReminder bool `json:"-"`
 }
 
 // UnmarshalJSON decodes a message. It returns an error of kind Invalid if the message holds
--- a/isolator/news.go
+++ b/isolator/news.go
@@ -23,7 +23,7 @@
 			i.heldList = nil
 		case now.Before(k.sentUntil):
 			l = append(l, k)
-		case k.held && !k.stored && now.Sub(k.reminded) >= reminderInterval:
+		case k.decided && !k.stored && now.Sub(k.reminded) >= reminderInterval:
 			k.reminded = now
 			l = append(l, k)
 		}
@@ -41,7 +41,7 @@
 	var endings []Ending
 	for _, k := range l {
 		if k.held || k.released {
-			all = append(all, Message{Endings: []Ending{}, Holds: []Hold{k.hold()}})
+			all = append(all, Message{Endings: []Ending{}, Holds: []Hold{k.hold()}, IsReminder: !now.Before(k.sentUntil)})
 		}
 		endings = append(endings, k.ownEndings(now)...)
 	}
--- a/isolator/suspect.go
+++ b/isolator/suspect.go
@@ -35,6 +35,8 @@
 	released bool
 	// stored reports whether the last decision is in the platform's store.
 	stored bool
+	// decided reports whether this gateway decided to hold it, so that it reminds others.
+	decided bool
 	// refused counts the requests that were refused since it is held.
 	refused int
 }
