--- a/explainer/timeline.go
+++ b/explainer/timeline.go
@@ -42,6 +42,7 @@
 	"configuration-applied", "configuration-older", "record-refused", "version-named", "failure-domain-evacuated", "record-dropped",
 	"source-lost", "source-regained", "endpoint-changed", "endpoint-gone", "endpoint-leaving", "endpoint-paused", "endpoint-entry-refused", "start", "stop", "stopped",
 	"load-ordered", "version-loaded", "load-failed", "fetch-failed", "engine-lost", "engine-found", "log-lines-dropped",
+	"request-held", "request-released", "trial-claimed", "trial-not-claimed", "released-by-operator",
 }
 
 // Timeline holds the log lines of one request and its background, ordered by time.
--- a/forwarder/isolate.go
+++ b/forwarder/isolate.go
@@ -97,19 +97,25 @@
 	v := c.verdict()
 	switch {
 	case v.HeldFor > 0:
-		c.refuseHeld(v.HeldFor)
+		c.refuseHeld(v)
 	case len(v.Trial) == 0:
 		return false
 	case c.claimTrial(v.Trial):
 		return false
 	default:
-		c.refuseHeld(unclaimedRetryAfter)
+		c.refuseHeld(v)
 	}
 	return true
 }
 
-func (c *call) refuseHeld(after time.Duration) {
+// refuseHeld refuses the request, which must not be sent by the verdict.
+func (c *call) refuseHeld(v isolator.Verdict) {
+	after := v.HeldFor
+	if after == 0 {
+		after = unclaimedRetryAfter
+	}
 	c.handler.Isolator.NoteRefused(c.suspects()...)
+	c.handler.Log.Info().Str("request", c.id).Strs("held-by", v.By).Dur("held-ms", after).Int("trials-due", len(v.Trial)).Msg("request-not-sent")
 	c.refuse(endsEndpoints, after)
 }
 
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -237,7 +237,7 @@
 // may have run.
 func (c *call) endHeld(last attemptResult) {
 	if last.outcome == retrier.NotRun && !c.started {
-		c.refuseHeld(max(c.verdict().HeldFor, unclaimedRetryAfter))
+		c.refuseHeld(c.verdict())
 		return
 	}
 	last.err = errHeld
--- a/isolator/hold.go
+++ b/isolator/hold.go
@@ -85,6 +85,9 @@
 type Verdict struct {
 	// HeldFor is how long the request must not be sent; 0 if it may.
 	HeldFor time.Duration
+	// By names the suspects for which the request must not be sent: the parts by their ids, the
+	// content by its digest.
+	By []string
 	// Trial holds the suspects of which the request would be a trial. It may be sent once all of
 	// them are claimed.
 	Trial []Digest
@@ -104,6 +107,7 @@
 			v.Trial = append(v.Trial, s.Digest)
 		default:
 			v.HeldFor = max(v.HeldFor, k.until.Sub(now))
+			v.By = append(v.By, k.name())
 		}
 	}
 	if v.HeldFor > 0 {
--- a/isolator/suspect.go
+++ b/isolator/suspect.go
@@ -131,6 +131,14 @@
 	return cleared
 }
 
+// name returns the id of a part, and the digest of a content.
+func (k *suspect) name() string {
+	if k.Part != "" {
+		return k.Part
+	}
+	return k.Digest.String()
+}
+
 // hold returns the decision on the suspect.
 func (k *suspect) hold() Hold {
 	h := Hold{Suspect: k.Suspect, Changed: k.changed, Until: k.until, Trials: k.trials, Released: !k.held}
