--- a/internal/direct/holds_fleet_test.go
+++ b/internal/direct/holds_fleet_test.go
@@ -85,6 +85,7 @@
 		if most := (maxCounters+isolator.DefaultMaxEndings)*(n+10*maxReminded) + 400; f.datagrams > most {
 			t.Errorf("%d gateways: %d datagrams, want %d at most", n, f.datagrams, most)
 		}
+		t.Logf("%d gateways: %d datagrams, %d bytes", n, f.datagrams, f.bytes)
 		f.now = f.now.Add(time.Minute)
 		claimed := 0
 		for _, k := range f.keepers {
