link: a cut isn't passed on as an end in order

Cause: a cut resets both sides one after the other. The direction that reads from the side that is reset first ended with an error, closed its channel, and only then did its group end the context. Between the two its other half took the closed channel for an end in order and sent it on. The channel is now closed at an end in order only. Every test of the project that cuts a connection through this relay could have seen a whole answer instead of a cut one.

Ruled out: a slow machine (no time bound is involved; the error was EOF). The test makes 300 connections now, not one.

--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -101,15 +101,18 @@
 		Expect(c.Read(make([]byte, 1))).To(Equal(1))
 	})
 
+	// A cut that is seen as an end in order would look like an answer that is whole.
 	It("cuts open connections and takes new ones", func() {
 		l, a := open(link.Faults{})
-		c := dial(a)
-		_, err := c.Write([]byte("x"))
-		Expect(err).NotTo(HaveOccurred())
-		Expect(c.Read(make([]byte, 1))).To(Equal(1))
-		l.SetFaults(link.Faults{Cut: true})
-		_, err = c.Read(make([]byte, 1))
-		Expect(err).To(MatchError(ContainSubstring("reset")))
+		for range 300 {
+			c := dial(a)
+			_, err := c.Write([]byte("x"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(c.Read(make([]byte, 1))).To(Equal(1))
+			l.SetFaults(link.Faults{Cut: true})
+			_, err = c.Read(make([]byte, 1))
+			Expect(err).To(MatchError(ContainSubstring("reset")))
+		}
 		Expect(echo(dial(a), text)).To(Equal(text))
 	})
 
--- a/internal/standin/link/pipe.go
+++ b/internal/standin/link/pipe.go
@@ -42,10 +42,12 @@
 // order only this one.
 func (l *Link) pass(ctx context.Context, g *errgroup.Group, p pipe) {
 	c := make(chan parcel, window)
-	g.Go(func() error { defer close(c); return l.receive(ctx, p, c) })
+	g.Go(func() error { return l.receive(ctx, p, c) })
 	g.Go(func() error { return l.deliver(ctx, p, c) })
 }
 
+// receive closes c at an end in order only. After an error the group ends ctx; a
+// closed channel would be seen before that and passed on as an end in order.
 func (l *Link) receive(ctx context.Context, p pipe, c chan<- parcel) error {
 	b := make([]byte, block)
 	for {
@@ -59,6 +61,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			close(c)
 			return nil
 		}
 		if err != nil {
@@ -68,7 +71,17 @@
 }
 
 func (l *Link) deliver(ctx context.Context, p pipe, c <-chan parcel) error {
-	for x := range c {
+	for {
+		var x parcel
+		var ok bool
+		select {
+		case x, ok = <-c:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if !ok {
+			break
+		}
 		if !standin.Sleep(ctx, time.Until(x.due)) {
 			return ctx.Err()
 		}
