receiver, agent, gateway: answers on the path through agents share one bound

What operators of similar systems reported: a faulty server sends bytes without end, and the machine that called it keeps them all and runs out of memory; the requests of others end with it. On the path through agents each answer had a limit (16 MiB), as had each request body (8 MiB) and each unfinished event (256 KiB and up to four early ones), but nothing bounded what all calls of a process hold together: an agent has 152 MB, ten such answers fill it.

Cause: only forwarder counted its buffers. Its count moves to package receiver (receiver.Buffers, receiver.Share, same limits, no change in forwarder's behaviour), and agents and gateways read request bodies and whole answers through it. streamer.Reader asks its process for room once it keeps more than 32 KiB. A call for whose bytes there is no room fails at once or isn't run; others go on, and an engine isn't blamed for it.

Ruled out: a smaller limit for each call, which would refuse large sound answers when nothing else is under way.

Left: connector reads up to 96 MiB of the log; response heads aren't counted.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -308,7 +308,7 @@
 	// several bytes.
 	a.conn.limitReads(2 * maxResponseBodyBytes)
 	defer a.conn.unlimitReads()
-	b, err := a.call.readBuffered(r.Body, maxResponseBodyBytes)
+	b, err := a.call.buffers.Read(r.Body, maxResponseBodyBytes)
 	if err == nil && a.isCutByEnd() {
 		err = errProcessEnded
 	}
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
 	"github.com/eelgrassdrift/eelgrassdrift/isolator"
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
 	"github.com/eelgrassdrift/eelgrassdrift/retrier"
@@ -67,8 +66,8 @@
 	// value if none did.
 	retry     retrier.Decision
 	queueTime time.Duration
-	// bufferedBytes is the size of the buffers that the handler has reserved for the call.
-	bufferedBytes atomic.Int64
+	// buffers is what the call holds of the buffers of the handler.
+	buffers receiver.Share
 	// triedEndpoints holds the ids of the endpoints of the attempts so far.
 	triedEndpoints []string
 	firstAfter     time.Duration
@@ -149,14 +148,6 @@
 	return c.ctl.Flush()
 }
 
-// readBuffered reads a complete body of at most limit bytes. Its buffer stays reserved
-// until the call ends.
-func (c *call) readBuffered(r io.Reader, limit int64) ([]byte, error) {
-	b, n, err := c.handler.buffers.read(r, limit)
-	c.bufferedBytes.Add(n)
-	return b, err
-}
-
 // copyHeader copies the end-to-end headers. It disables the content type detection of
 // the server if the endpoint sent no content type.
 func copyHeader(dst, src http.Header) {
--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
-	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
 )
 
@@ -129,8 +129,8 @@
 			most = max(most, f.BufferedBytes())
 		}
 	}
-	if most > forwarder.MaxBufferedBytes {
-		t.Errorf("%d bytes were buffered; the limit is %d", most, forwarder.MaxBufferedBytes)
+	if most > receiver.MaxBufferedBytes {
+		t.Errorf("%d bytes were buffered; the limit is %d", most, receiver.MaxBufferedBytes)
 	}
 	if n := f.BufferedBytes(); n != 0 {
 		t.Errorf("%d bytes are still reserved after the last response", n)
@@ -175,11 +175,11 @@
 		await(t, "a further event is sent", func() bool { return sent() > n })
 	}
 	awaitStandstill(func() int64 { return sent() + f.BufferedBytes() })
-	if limit, n := before+forwarder.MaxBufferedBytes+callers*streamBytes, liveBytes(); n > limit {
+	if limit, n := before+receiver.MaxBufferedBytes+callers*streamBytes, liveBytes(); n > limit {
 		t.Errorf("%d MiB of memory are in use, want at most %d", n>>20, limit>>20)
 	}
-	if n := f.BufferedBytes(); n < forwarder.MaxBufferedBytes/4 {
-		t.Errorf("%d bytes are buffered; the streams don't come near the limit of %d", n, forwarder.MaxBufferedBytes)
+	if n := f.BufferedBytes(); n < receiver.MaxBufferedBytes/4 {
+		t.Errorf("%d bytes are buffered; the streams don't come near the limit of %d", n, receiver.MaxBufferedBytes)
 	}
 	close(release)
 	for range callers {
--- a/forwarder/event_buffer.go
+++ b/forwarder/event_buffer.go
@@ -1,14 +1,18 @@
 package forwarder
 
-import "github.com/cockroachdb/errors"
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
+)
 
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
-// eventBuffer collects one event. Its size beyond uncountedBodyBytes is reserved in buffers: the
+// eventBuffer collects one event. Its size beyond receiver.UncountedBytes is reserved in buffers: the
 // unfinished events of some hundred streams could fill the memory of the process.
 type eventBuffer struct {
-	buffers *bodyBuffers
+	buffers *receiver.Buffers
 	bytes   []byte
 	// held is the reserved size.
 	held int64
@@ -32,13 +36,13 @@
 // grow makes room for n bytes.
 func (e *eventBuffer) grow(n int64) error {
 	held := int64(0)
-	if n > uncountedBodyBytes {
-		if held = n; !e.buffers.reserve(held) {
-			return errNoBufferSpace
+	if n > receiver.UncountedBytes {
+		if held = n; !e.buffers.Reserve(held) {
+			return receiver.ErrNoBufferSpace
 		}
 	}
 	e.bytes = append(make([]byte, 0, n), e.bytes...)
-	e.buffers.release(e.held)
+	e.buffers.Release(e.held)
 	e.held = held
 	return nil
 }
@@ -47,7 +51,7 @@
 func (e *eventBuffer) reset() {
 	e.bytes = e.bytes[:0]
 	if e.held > 0 {
-		e.buffers.release(e.held)
+		e.buffers.Release(e.held)
 		e.bytes, e.held = nil, 0
 	}
 }
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sender"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/stopper"
 	"github.com/eelgrassdrift/eelgrassdrift/isolator"
@@ -78,7 +79,7 @@
 	// calls holds the calls that may be sent to endpoints.
 	calls   sync.Map
 	budgets sync.Map
-	buffers bodyBuffers
+	buffers receiver.Buffers
 	// noticeErrors limits the log lines about notices.
 	noticeErrors logLimiter
 	// stopper knows how long the requests of each route usually take.
@@ -98,7 +99,7 @@
 }
 
 // BufferedBytes returns the size of the reserved body buffers.
-func (f *Handler) BufferedBytes() int64 { return f.buffers.used.Load() }
+func (f *Handler) BufferedBytes() int64 { return f.buffers.Used() }
 
 func (f *Handler) budget(service string) *retrier.Budget {
 	if b, ok := f.budgets.Load(service); ok {
@@ -118,7 +119,7 @@
 	w = &sender.Writer{ResponseWriter: w, Timeout: f.WriteTimeout}
 	c := &call{
 		handler: f, w: w, ctl: http.NewResponseController(w), start: start, id: q.Header.Get(f.Headers.RequestID),
-		lease: &dispatcher.Lease{}, attempts: attempts{changed: make(chan struct{}, 1)},
+		lease: &dispatcher.Lease{}, attempts: attempts{changed: make(chan struct{}, 1)}, buffers: receiver.Share{Of: &f.buffers},
 	}
 	if f.isForEndpoint(q) {
 		c.answerMisdirected()
@@ -135,7 +136,7 @@
 		c.fail(classifier.Of(err), "not-allowed", err)
 		return
 	}
-	defer func() { f.buffers.release(c.bufferedBytes.Load()) }()
+	defer c.buffers.Release()
 	c.prepare(q, m)
 	if !c.endsInTime() {
 		c.refuse(stopping, otherGatewayRetryAfter)
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
 	"github.com/eelgrassdrift/eelgrassdrift/retrier"
 )
@@ -31,8 +32,8 @@
 		c.fail(classifier.Internal, "internal", err)
 		return false
 	}
-	b, err := c.readBuffered(http.MaxBytesReader(c.w, q.Body, limit), limit)
-	if errors.Is(err, errNoBufferSpace) {
+	b, err := c.buffers.Read(http.MaxBytesReader(c.w, q.Body, limit), limit)
+	if errors.Is(err, receiver.ErrNoBufferSpace) {
 		c.refuse("no-room-for-body", otherGatewayRetryAfter)
 		return false
 	}
--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -33,6 +33,8 @@
 	id    string
 	body  []byte
 	begun time.Time
+	// buffers is what the visit holds of the buffers of the agent.
+	buffers receiver.Share
 	// stream is the progress of a streamed response.
 	stream limiter.Stream
 }
@@ -42,18 +44,22 @@
 	left := header.Remaining(q.Header, maxTime)
 	ctx, cancel := context.WithTimeout(q.Context(), left)
 	w, remove := a.stopper.Add(w, cancel)
+	v := &visit{
+		agent: a, w: &sender.Writer{ResponseWriter: w}, q: q, id: q.Header.Get(header.RequestID), begun: time.Now(),
+		buffers: receiver.Share{Of: &a.buffers},
+	}
 	stop := func() {
 		remove()
 		cancel()
+		v.buffers.Release()
 	}
-	v := &visit{agent: a, w: &sender.Writer{ResponseWriter: w}, q: q, id: q.Header.Get(header.RequestID), begun: time.Now()}
 	w.Header().Set(header.RequestID, v.id)
 	if left <= 0 {
 		stop()
 		v.refuse("deadline", "the deadline has passed")
 		return nil, nil, nil, false
 	}
-	b, err := receiver.Body(v.w, q, maxBody, v.begun.Add(left))
+	b, err := receiver.Body(v.w, q, maxBody, v.begun.Add(left), &v.buffers)
 	if err != nil {
 		stop()
 		v.refuse("body", "the request body is not whole: "+err.Error())
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/listener"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/settings"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/stopper"
 	"github.com/eelgrassdrift/eelgrassdrift/limiter"
@@ -79,6 +80,7 @@
 	relay   *relayer.Client
 	leaving atomic.Bool
 	stopper stopper.Stopper
+	buffers receiver.Buffers
 }
 
 // Rates bound the transfer of chunks in bytes a second; 0 sets no bound.
--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -20,6 +20,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/distributor"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/problem"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/registrar"
 	"github.com/eelgrassdrift/eelgrassdrift/streamer"
@@ -214,9 +215,9 @@
 	}
 	isStream := strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream")
 	if !isStream {
-		if err := giveLength(r); err != nil {
+		if err := v.giveLength(r); err != nil {
 			v.fail(header.Failed, "cut", "the engine's answer: "+err.Error())
-			return result{failed: ctx.Err() == nil}
+			return result{failed: ctx.Err() == nil && !errors.Is(err, receiver.ErrNoBufferSpace)}
 		}
 	}
 	v.stamp(header.Run, "")
@@ -261,7 +262,7 @@
 
 func (e *engine) copyStream(ctx context.Context, v *visit, r *http.Response) result {
 	from := uint64(max(0, header.Int(v.q.Header, header.ResumeFrom, 0)))
-	in := &streamer.Reader{In: r.Body, Request: v.id, From: from}
+	in := &streamer.Reader{In: r.Body, Request: v.id, From: from, Reserve: v.buffers.Reserve}
 	out := &streamer.Writer{Out: v.w, Form: streamer.Hop, Request: v.id, From: from}
 	var n result
 	for {
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -253,7 +253,7 @@
 		return guarder.Answer{}, &Error{Op: "call service", Kind: classifier.OutcomeUnknown, Err: errors.New("the service did not answer")}
 	}
 	defer func() { _ = r.Body.Close() }()
-	b, err := readWhole(r, isJSON(r))
+	b, err := v.readWhole(r, isJSON(r))
 	if err != nil {
 		return guarder.Answer{}, &Error{Op: "read answer", Kind: classifier.OutcomeUnknown, Err: err}
 	}
--- a/internal/agent/whole.go
+++ b/internal/agent/whole.go
@@ -25,16 +25,14 @@
 	return r, err
 }
 
-// readWhole returns the body of an answer of at most maxAnswer bytes. A body that ends
-// where the connection is closed counts as whole unless it is a document that isn't: a
+// readWhole returns the body of an answer of at most maxAnswer bytes, which stays reserved
+// until the visit ends. A body that ends where the connection is closed counts as whole unless it is a document that isn't: a
 // target that stops within its head or its body closes the connection in the same way.
-func readWhole(r *http.Response, isDocument bool) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(r.Body, maxAnswer+1))
+func (v *visit) readWhole(r *http.Response, isDocument bool) ([]byte, error) {
+	b, err := v.buffers.Read(r.Body, maxAnswer)
 	switch {
 	case err != nil:
 		return nil, err
-	case len(b) > maxAnswer:
-		return nil, errors.Newf("the answer is larger than %d bytes", maxAnswer)
 	case connector.IsEndedByClose(r) && isDocument && !json.Valid(b):
 		return nil, errors.New("the connection was closed before the document was whole")
 	}
@@ -49,11 +47,11 @@
 
 // giveLength reads a body that ends where the connection is closed and gives it a length,
 // so that what is passed on is whole or an error. A completion is a JSON document.
-func giveLength(r *http.Response) error {
+func (v *visit) giveLength(r *http.Response) error {
 	if !connector.IsEndedByClose(r) {
 		return nil
 	}
-	b, err := readWhole(r, r.StatusCode == http.StatusOK || isJSON(r))
+	b, err := v.readWhole(r, r.StatusCode == http.StatusOK || isJSON(r))
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -13,6 +13,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/retrier"
 	"github.com/eelgrassdrift/eelgrassdrift/streamer"
@@ -199,7 +200,7 @@
 // copyStream verifies each frame of the stream and forwards it to the caller.
 func (a *attempt) copyStream(r *http.Response) attemptResult {
 	c := a.call
-	in := &streamer.Reader{In: r.Body, Request: c.id, From: a.from}
+	in := &streamer.Reader{In: r.Body, Request: c.id, From: a.from, Reserve: c.buffers.Reserve}
 	version := recorder.Name(r.Header.Get(header.Version))
 	for {
 		f, err := in.Next()
@@ -220,18 +221,20 @@
 // copyBuffered reads a complete response before forwarding it, so that a truncated
 // one is never forwarded.
 func (a *attempt) copyBuffered(r *http.Response) attemptResult {
-	b, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedResponse+1))
+	b, err := a.call.buffers.Read(r.Body, maxBufferedResponse)
 	if err != nil {
 		n := attemptResult{outcome: retrier.Unknown, reason: "cut", detail: "the answer was cut"}
-		if a.ctx.Err() != nil {
+		switch {
+		case errors.Is(err, receiver.ErrTooLarge):
+			n.reason, n.detail = "oversized", "the answer is larger than 16 MiB"
+		case errors.Is(err, receiver.ErrNoBufferSpace):
+			n.reason, n.detail = "no-buffer-space", "the gateway has no room for the answer"
+		case a.ctx.Err() != nil:
 			n.reason, n.detail = a.call.endReason()
 			n.detail += " during the answer"
 		}
 		return n
 	}
-	if len(b) > maxBufferedResponse {
-		return attemptResult{outcome: retrier.Unknown, reason: "oversized", detail: "the answer is larger than 16 MiB"}
-	}
 	if !a.writeWhole(r, b) {
 		return attemptResult{outcome: retrier.Failed, reason: "superseded", detail: errSuperseded.Error()}
 	}
--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -49,6 +49,9 @@
 	seen []string
 	// ran counts the attempts that were not refused.
 	ran int
+	// sent counts the bytes of unfinished answers, which end when release is closed.
+	sent    atomic.Int64
+	release chan struct{}
 	// report tells the gateway an endpoint's state.
 	report func(name string, state router.State)
 	// detach tells the gateway that an endpoint's agent has left.
@@ -72,7 +75,7 @@
 }
 
 // serve answers one attempt by its script line: whole [VERSION], refuse REASON,
-// empty STATUS, fail, unknown, drop, cut, bare, invalid STATUS, or stream VERSION FRAMES [cut] or
+// empty STATUS, fail, unknown, drop, cut, unfinished MIB, bare, invalid STATUS, or stream VERSION FRAMES [cut] or
 // [quiet MS FRAMES] or [gone MS FRAMES] or [late MS FRAMES], of which "late" pauses without a
 // report. "foreign" before it answers another request, "old" leaves the request id out, "quiet MS"
 // is silent before it answers, "slow MS" the same while the agent reports it ready, and the agent
@@ -130,6 +133,9 @@
 	case "cut":
 		h.Set("Content-Length", "100")
 		_, _ = io.WriteString(w, "ans")
+	case "unfinished":
+		n, _ := strconv.Atoi(s[1])
+		e.unfinished(w, q, n)
 	case "raw":
 		writeRaw(w, q, strings.Join(s[1:], " "))
 	case "stream":
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -14,6 +14,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/problem"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/registrar"
 	"github.com/eelgrassdrift/eelgrassdrift/retrier"
@@ -29,6 +30,8 @@
 	id       string
 	callerID string
 	body     []byte
+	// buffers is what the call holds of the buffers of the gateway.
+	buffers  receiver.Share
 	account  *registrar.ClientAccount
 	revision uint64
 	begun    time.Time
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -58,7 +58,8 @@
 func (g *Gateway) serveCaller(w http.ResponseWriter, q *http.Request) {
 	w, q, done := g.track(w, q)
 	defer done()
-	c := &call{gateway: g, w: w, q: q, id: uuid.NewString(), begun: time.Now()}
+	c := &call{gateway: g, w: w, q: q, id: uuid.NewString(), begun: time.Now(), buffers: receiver.Share{Of: &g.buffers}}
+	defer c.buffers.Release()
 	c.callerID = q.Header.Get(header.CallerID)
 	if c.callerID == "" || len(c.callerID) > maxCallerID {
 		c.callerID = c.id
@@ -121,7 +122,7 @@
 		c.w.Header().Set("WWW-Authenticate", "Bearer")
 		return refuse(http.StatusUnauthorized, "a valid key is needed in the header Authorization")
 	}
-	b, err := receiver.Body(c.w, c.q, maxBody, c.begun.Add(c.gateway.RequestTimeout))
+	b, err := receiver.Body(c.w, c.q, maxBody, c.begun.Add(c.gateway.RequestTimeout), &c.buffers)
 	if errors.Is(err, os.ErrDeadlineExceeded) && g.stopper.IsCut() {
 		p := stopProblem()
 		return &p
@@ -129,6 +130,9 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return refuse(http.StatusRequestTimeout, "the body is not complete after "+c.gateway.RequestTimeout.String())
 	}
+	if errors.Is(err, receiver.ErrNoBufferSpace) {
+		return refuse(http.StatusServiceUnavailable, "no room for the body")
+	}
 	if err != nil {
 		var m *http.MaxBytesError
 		if errors.As(err, &m) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/listener"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/settings"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/stopper"
 	"github.com/eelgrassdrift/eelgrassdrift/operator"
@@ -92,6 +93,7 @@
 	dialer         net.Dialer
 	counters       counters
 	stopper        stopper.Stopper
+	buffers        receiver.Buffers
 	turns          atomic.Uint64
 	// foreignEndpoints is the number of endpoints in the table that belong to
 	// other failure domains. Their agents attach here after losing their own
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -32,6 +32,8 @@
 	w, q, done := g.track(w, q)
 	defer done()
 	c := &call{gateway: g, w: w, q: q, id: q.Header.Get(header.RequestID), callerID: q.Header.Get(header.CallerID), begun: time.Now()}
+	c.buffers.Of = &g.buffers
+	defer c.buffers.Release()
 	w.Header().Set(header.RequestID, c.id)
 	c.account = &registrar.ClientAccount{}
 	c.account.Name = recorder.Name(q.Header.Get(header.Account))
@@ -39,7 +41,7 @@
 	c.version = recorder.Name(q.Header.Get(header.Version))
 	c.position = uint64(max(0, header.Int(q.Header, header.ResumeFrom, 0)))
 	pinned := c.version
-	b, err := receiver.Body(c.w, q, maxBody, c.begun.Add(g.RequestTimeout))
+	b, err := receiver.Body(c.w, q, maxBody, c.begun.Add(g.RequestTimeout), &c.buffers)
 	if err != nil {
 		problem.New(http.StatusServiceUnavailable, header.NotRun, "the body is not whole").Write(w)
 		return
--- a/streamer/reader.go
+++ b/streamer/reader.go
@@ -28,6 +28,9 @@
 	// bufferSize is the size of the read buffer of each open stream. A gateway
 	// has hundreds of open streams, and most lines are a few hundred bytes.
 	bufferSize = 4 << 10
+	// freeBytes is what a Reader keeps without Reserve. Most frames are smaller, so that
+	// faulty streams never take the place of sound ones.
+	freeBytes = 32 << 10
 )
 
 // Reader reads the frames of one streamed response. The exported fields must be
@@ -49,6 +52,9 @@
 	// reordered; 0 means DefaultWindow, and with a negative value every frame
 	// that is ahead is a gap.
 	Window int
+	// Reserve asks for n further bytes of memory and reports whether there is room. A Reader
+	// asks once it keeps more than freeBytes; nil allows all.
+	Reserve func(n int64) bool
 
 	in    *bufio.Reader
 	line  []byte
@@ -56,6 +62,8 @@
 	early []earlyFrame
 	next  uint64
 	err   error
+	// reserved is the number of bytes that Reserve has granted.
+	reserved int64
 }
 
 // event is a parsed server-sent event; its buffers are reused.
@@ -185,7 +193,10 @@
 		}
 		return nil
 	}
-	h.data = append(h.data[:0], f.Data...)
+	var err error
+	if h.data, err = r.extend(h.data[:0], f.Data); err != nil {
+		return err
+	}
 	f.Data = h.data
 	h.used, h.frame = true, f
 	return nil
@@ -234,24 +245,49 @@
 		if len(r.line)+len(part) > r.MaxLine {
 			return nil, newError(readOp, Oversized, "a line is longer than %d bytes", r.MaxLine)
 		}
-		if err == nil && len(r.line) > 0 {
-			r.line = append(r.line, part...)
-			part = r.line
-		}
 		switch {
-		case err == nil:
-			return bytes.TrimSuffix(part[:len(part)-1], []byte{'\r'}), nil
-		case !errors.Is(err, bufio.ErrBufferFull):
+		case err == nil && len(r.line) == 0:
+			return trimLineEnd(part), nil
+		case err != nil && !errors.Is(err, bufio.ErrBufferFull):
 			return nil, r.truncationError(err)
 		}
-		r.line = append(r.line, part...)
+		var full error
+		if r.line, full = r.extend(r.line, part); full != nil {
+			return nil, full
+		}
+		if err == nil {
+			return trimLineEnd(r.line), nil
+		}
 	}
 }
 
+func trimLineEnd(line []byte) []byte { return bytes.TrimSuffix(line[:len(line)-1], []byte{'\r'}) }
+
+// extend appends b to to, which the Reader keeps.
+func (r *Reader) extend(to, b []byte) ([]byte, error) {
+	n := len(to) + len(b)
+	if n <= cap(to) {
+		return append(to, b...), nil
+	}
+	size := max(n, 2*cap(to))
+	total := int64(size - cap(to) + cap(r.line) + cap(r.event.name) + cap(r.event.data))
+	for i := range r.early {
+		total += int64(cap(r.early[i].data))
+	}
+	if more := total - r.reserved; r.Reserve != nil && total > freeBytes && more > 0 {
+		if !r.Reserve(more) {
+			return to, newError(readOp, Oversized, "there is no room for %d bytes of unfinished events", total)
+		}
+		r.reserved = total
+	}
+	return append(append(make([]byte, 0, size), to...), b...), nil
+}
+
 // parseField adds the field in the line to the event. Comments and "retry" are
 // skipped, as the server-sent events standard requires.
 func (r *Reader) parseField(line []byte) error {
 	e := &r.event
+	var err error
 	name, value, _ := bytes.Cut(line, []byte{':'})
 	value = bytes.TrimPrefix(value, []byte{' '})
 	switch string(name) {
@@ -261,17 +297,21 @@
 		}
 		e.id, e.seen = append(e.id[:0], value...), true
 	case "event":
-		e.name, e.seen = append(e.name[:0], value...), true
+		e.name, err = r.extend(e.name[:0], value)
+		e.seen = true
 	case "data":
 		if len(e.data)+len(value)+1 > r.MaxEvent {
 			return newError(readOp, Oversized, "the data of an event is longer than %d bytes", r.MaxEvent)
 		}
 		if e.hasData {
-			e.data = append(e.data, '\n')
+			if e.data, err = r.extend(e.data, []byte{'\n'}); err != nil {
+				return err
+			}
 		}
-		e.data, e.hasData, e.seen = append(e.data, value...), true, true
+		e.data, err = r.extend(e.data, value)
+		e.hasData, e.seen = true, true
 	}
-	return nil
+	return err
 }
 
 // parseFrame converts the event to a frame.
--- a/streamer/reader_test.go
+++ b/streamer/reader_test.go
@@ -71,6 +71,41 @@
 	})
 }
 
+// Guards against unfinished events that a process keeps without counting them. Small frames ask
+// for no room, so that faulty streams never end sound ones.
+func TestReaderReserves(t *testing.T) {
+	frame := func(sequence, size int) string {
+		return fmt.Sprintf("id: a/%d\ndata: {\"x\":\"%s\"}\n\n", sequence, strings.Repeat("x", size))
+	}
+	for _, c := range []struct {
+		name, in string
+		room     int64
+		least    int64
+		end      string
+	}{
+		{"small frames", frame(0, 4000) + frame(1, 4000) + "event: end\nid: a/2\ndata: {\"count\":2}\n\n", 0, 0, "complete"},
+		{"a large line", frame(0, 50_000), 1 << 20, 50_000, "cut"},
+		{"a large line without room", frame(0, 50_000), 1 << 10, 0, "oversized"},
+		{"an event of many lines", "id: a/0\n" + strings.Repeat("data: "+strings.Repeat(" ", 900)+"\n", 200), 1 << 20, 180_000, "cut"},
+		{"early frames", frame(1, 15_000) + frame(2, 15_000) + frame(3, 15_000), 1 << 20, 45_000, "gap"},
+		{"early frames without room", frame(1, 15_000) + frame(2, 15_000) + frame(3, 15_000), 40_000, 0, "oversized"},
+	} {
+		left := c.room
+		r := &streamer.Reader{In: strings.NewReader(c.in), Reserve: func(n int64) bool {
+			if n > left {
+				return false
+			}
+			left -= n
+			return true
+		}}
+		got := readAll(r)
+		got = got[strings.LastIndexByte(strings.TrimSuffix(got, "\n"), '\n')+1:]
+		if !strings.HasPrefix(got, c.end) || c.room-left < c.least {
+			t.Errorf("%s: %d bytes reserved, want %d: %s", c.name, c.room-left, c.least, got)
+		}
+	}
+}
+
 // FuzzReader guards against input that makes the reader panic, return frames
 // out of order, or report an unverified stream as complete.
 func FuzzReader(f *testing.F) {
