direct, forwarder: number, time and routes of holds are settings

The defaults are the values of before.

Tests: a case of TestEndings (9 lines of it differ with the guard of the verdict off), TestHoldSettings.

--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -66,6 +66,9 @@
 	WriteTimeout time.Duration
 	// Isolator holds requests back that end their endpoints; nil means that none is.
 	Isolator *isolator.Isolator
+	// UnheldRoutes are the names of the routes whose requests are never held back. Endings under
+	// them aren't counted.
+	UnheldRoutes []string
 	// ClaimTrial claims the next trial of a suspect for a request of this gateway, and reports
 	// whether no other gateway can have it. ReturnTrial returns one that wasn't made. If they are
 	// nil no trials are made.
--- a/forwarder/isolate.go
+++ b/forwarder/isolate.go
@@ -73,10 +73,15 @@
 // traceHeaders name one attempt of a caller.
 var traceHeaders = [...]string{"Traceparent", "Tracestate", "X-Request-Id", "Date"}
 
+// isUnheld reports whether the request is sent on whatever ends under it. Its whole answers count.
+func (c *call) isUnheld() bool {
+	return c.match.Route != nil && slices.Contains(c.handler.UnheldRoutes, c.match.Route.Name)
+}
+
 // verdict returns whether the request may be sent to an endpoint.
 func (c *call) verdict() isolator.Verdict {
 	i := c.handler.Isolator
-	if i == nil || i.IsIdle() {
+	if i == nil || i.IsIdle() || c.isUnheld() {
 		return isolator.Verdict{}
 	}
 	return i.Check(c.suspects()...)
@@ -166,11 +171,14 @@
 func (c *call) addEnding(a *attempt) {
 	e := &a.lease.Endpoint
 	began, ended := time.Since(a.sentAt), time.Since(a.state.endedAt)
-	for _, s := range c.suspects() {
-		c.handler.Isolator.Add(isolator.Ending{Suspect: s, Process: processName(e), Began: max(began, ended), Ended: ended})
+	counted := !c.isUnheld()
+	if counted {
+		for _, s := range c.suspects() {
+			c.handler.Isolator.Add(isolator.Ending{Suspect: s, Process: processName(e), Began: max(began, ended), Ended: ended})
+		}
 	}
 	c.handler.Log.Info().Str("request", c.id).Str("digest", c.suspects()[0].Digest.String()).Str("endpoint", e.ID).
-		Strs("parts", c.sharedParts()).Bool("begun", a.begun).Dur("sent-ms", began).Msg("endpoint-ended")
+		Strs("parts", c.sharedParts()).Bool("begun", a.begun).Bool("counted", counted).Dur("sent-ms", began).Msg("endpoint-ended")
 }
 
 // noteServed records that an endpoint has answered the request, if the answer was whole.
@@ -239,7 +247,7 @@
 func (f *Handler) EndHeld(d isolator.Digest) {
 	f.calls.Range(func(k, _ any) bool {
 		c := k.(*call)
-		if slices.ContainsFunc(c.suspects(), func(s isolator.Suspect) bool { return s.Digest == d }) {
+		if !c.isUnheld() && slices.ContainsFunc(c.suspects(), func(s isolator.Suspect) bool { return s.Digest == d }) {
 			c.attempts.endHeld()
 		}
 		return true
--- a/forwarder/isolate_test.go
+++ b/forwarder/isolate_test.go
@@ -22,6 +22,9 @@
 		var out strings.Builder
 		f, all := newHandler(t, 12)
 		f.Isolator = &isolator.Isolator{}
+		if d.HasArg("unheld") {
+			d.ScanArgs(t, "unheld", &f.UnheldRoutes)
+		}
 		f.ClaimTrial = func(_ context.Context, d isolator.Digest) bool {
 			h, isHeld := f.Isolator.NextTrial(d)
 			f.Isolator.LearnHold(h, true)
--- a/internal/direct/command.go
+++ b/internal/direct/command.go
@@ -18,6 +18,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/internal/logger"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/settings"
+	"github.com/eelgrassdrift/eelgrassdrift/isolator"
 )
 
 // The GOGC percentages, used where the environment sets none. They are below the
@@ -36,6 +37,9 @@
 		settings.Float("cold-slack", 0, "requests per second added to the request rate of a cold endpoint"),
 		settings.Float("retry-ratio", 0.1, "retries per request, over all gateways"),
 		settings.Float("retry-extra", 24, "retries in a window beyond the ratio, over all gateways"),
+		settings.Int64("hold-endings", isolator.DefaultMaxEndings, "endpoints that end under a request, or under requests with one part of their prompts, before it is held"),
+		settings.Period("hold-time", isolator.DefaultHold, "time of a hold until a first trial"),
+		settings.Strings("unheld-routes", "routes whose requests are never held"),
 		settings.Period("balancer-wait", 2600*time.Millisecond, "time from reporting not ready to the last new connection in a planned stop"),
 		settings.Int64("drain-ms", 2000, "milliseconds after which a draining endpoint must get no more requests"),
 		settings.Int64("stop-seconds", 8, "longest time of a planned stop in seconds"),
@@ -55,6 +59,9 @@
 			RetryRatio:   s.Float("retry-ratio", c.Float("retry-ratio"), 0, 1),
 			RetryExtra:   s.Float("retry-extra", c.Float("retry-extra"), 0, 1e6),
 			Drain:        time.Duration(s.Int("drain-ms", c.Int64("drain-ms"), 100, 1<<31)) * time.Millisecond,
+			HoldEndings:  int(s.Int("hold-endings", c.Int64("hold-endings"), 1, isolator.DefaultMaxEndings)),
+			HoldTime:     s.Duration("hold-time", c.Duration("hold-time"), time.Second, 24*time.Hour),
+			UnheldRoutes: c.StringSlice("unheld-routes"),
 			BalancerWait: s.Duration("balancer-wait", c.Duration("balancer-wait"), 0, time.Minute),
 			StopTimeout:  time.Duration(s.Int("stop-seconds", c.Int64("stop-seconds"), 1, 3600)) * time.Second,
 			Descriptors:  int(s.Int("descriptors", c.Int64("descriptors"), 0, 1<<30)),
--- a/internal/direct/command_test.go
+++ b/internal/direct/command_test.go
@@ -51,3 +51,28 @@
 		t.Fatal(err)
 	}
 }
+
+// A wrong number or time of holds must be refused at the start: more endings than the default would
+// break the bound of five endpoints for one faulty part.
+func TestHoldSettings(t *testing.T) {
+	for _, c := range []struct{ setting, refused string }{
+		{"--hold-endings=2", ""},
+		{"--hold-endings=3", ""},
+		{"--hold-endings=0", "hold-endings"},
+		{"--hold-endings=4", "hold-endings"},
+		{"--hold-time=5m", ""},
+		{"--hold-time=0s", "hold-time"},
+		{"--unheld-routes=chat,embed", ""},
+	} {
+		args := []string{
+			"direct", "check", "--name=g", "--failure-domain=a", "--regions=a=r", "--front=127.0.0.1:1", "--ready=127.0.0.1:2",
+			"--peers=127.0.0.1:3", "--store=127.0.0.1:4", c.setting,
+		}
+		command := GatewayCommand(&Platform{})
+		command.ExitErrHandler = func(context.Context, *cli.Command, error) {}
+		err := command.Run(t.Context(), args)
+		if (err != nil) != (c.refused != "") || err != nil && !strings.Contains(err.Error(), c.refused) {
+			t.Errorf("%s: %v", c.setting, err)
+		}
+	}
+}
--- a/internal/direct/endings.go
+++ b/internal/direct/endings.go
@@ -29,6 +29,7 @@
 // newIsolator returns the isolator of the gateway.
 func (g *Gateway) newIsolator() *isolator.Isolator {
 	return &isolator.Isolator{
+		MaxEndings: g.HoldEndings, Hold: g.HoldTime,
 		Held: func(h isolator.Hold) {
 			g.Log.Warn().Stringer("digest", h.Digest).Str("part", h.Part).Strs("endpoints", h.Processes).Int("trials", h.Trials).
 				Dur("held-ms", time.Until(h.Until)).Msg("request-held")
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -81,6 +81,12 @@
 	MaxVersionDelay time.Duration
 	// Drain is the time after which a draining endpoint must get no more requests.
 	Drain time.Duration
+	// HoldEndings is the number of endpoints that end under a suspect before it is held, and
+	// HoldTime the time until its first trial; 0 means the defaults of isolator. All gateways have
+	// the same. UnheldRoutes are the routes whose requests are never held.
+	HoldEndings  int
+	HoldTime     time.Duration
+	UnheldRoutes []string
 	// BalancerWait is the time from reporting not ready to the last new connection,
 	// and StopTimeout the longest time of a planned stop.
 	BalancerWait, StopTimeout time.Duration
@@ -191,6 +197,7 @@
 		Rank: func() int { return slices.Index(g.follower.state.GatewayNames(), g.Name) },
 	}
 	g.follower.state.ApplyHold = g.holds.apply
+	g.front.UnheldRoutes = g.UnheldRoutes
 	g.front.Isolator, g.front.ClaimTrial, g.front.ReturnTrial = i, g.holds.claim, g.holds.returnTrial
 }
 
