--- a/internal/agent/whole.go
+++ b/internal/agent/whole.go
@@ -26,8 +26,9 @@
 }
 
 // readWhole returns the body of an answer of at most maxAnswer bytes, which stays reserved
-// until the visit ends. A body that ends where the connection is closed counts as whole unless it is a document that isn't: a
-// target that stops within its head or its body closes the connection in the same way.
+// until the visit ends. A body that ends where the connection is closed counts as whole unless
+// it is a document that isn't: a target that stops within its head or its body closes the
+// connection in the same way.
 func (v *visit) readWhole(r *http.Response, isDocument bool) ([]byte, error) {
 	b, err := v.buffers.Read(r.Body, maxAnswer)
 	switch {
--- a/internal/receiver/buffers.go
+++ b/internal/receiver/buffers.go
@@ -63,7 +63,8 @@
 	return true
 }
 
-// Release gives back all that the share holds. What was read isn't used any more.
+// Release gives back all that the share holds. No Read is under way, and what was read isn't
+// used any more.
 func (s *Share) Release() { s.Of.Release(s.held.Swap(0)) }
 
 // Read reads a complete body of at most limit bytes. Its buffer stays reserved until Release.
