isolator: a hold isn't released for news that is still on its way

Cause: each request with the content has its parts too. Where the news of an ending was there for a part and not yet for the content, the content lacked an ending that the part had, so the part explained it, and the content was released 0.1 s after it was held. The release went to all gateways, which counted the endings as answered since; three more had to end, and it happened again. It was done by gateways that had only learned of the hold too: these never hear of the endings since.

Evidence: at 5.7616 s edge-trencin-a-1 holds the content (three processes), then its part (five, the same three among them) and releases the content; at 5.7637 s edge-nitra-a-4 has five processes for the content and releases it on that news.

Change: an ending of the last 0.2 s, the time in which news is repeated, doesn't explain another suspect's hold away, and only a gateway that decided a hold releases it for an explanation. News looks again, so that a bystander is released after that time. Not holding a bystander in the first place is as before.

Ruled out: a reason in the message, so that others don't count the endings as answered.

--- a/isolator/hold.go
+++ b/isolator/hold.go
@@ -252,7 +252,7 @@
 func (i *Isolator) reconsider() {
 	now := i.now()
 	for _, k := range i.suspects {
-		if !k.held && !i.isForgotten(k, now) && k.count(i.explanation(k)) >= i.maxEndings(k, now) {
+		if !k.held && !i.isForgotten(k, now) && k.count(i.explanation(k, time.Time{})) >= i.maxEndings(k, now) {
 			i.hold(k, 0)
 		}
 	}
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -116,7 +116,7 @@
 			k.until = t
 		}
 		i.explain()
-	case k.count(i.explanation(k)) >= i.maxEndings(k, now):
+	case k.count(i.explanation(k, time.Time{})) >= i.maxEndings(k, now):
 		i.hold(k, 0)
 		i.explain()
 	}
@@ -136,13 +136,14 @@
 
 // explanation returns whether the end of a process is explained by a suspect that is held: one that
 // has an ending which k lacks, so that k alone can't be at fault, or one beside which k was sound a
-// moment ago.
-func (i *Isolator) explanation(k *suspect) func(process string) bool {
+// moment ago. An ending after the given time, if one is given, isn't lacked: the news that k had it
+// as well may be on its way.
+func (i *Isolator) explanation(k *suspect, until time.Time) func(process string) bool {
 	now := i.now()
 	wasSound := i.sound.has(k.Digest, now)
 	var l []*suspect
 	for _, o := range i.held() {
-		if o != k && (!k.covers(o) || wasSound && !i.sound.has(o.Digest, now)) {
+		if o != k && (!k.coversUntil(o, until) || wasSound && !i.sound.has(o.Digest, now)) {
 			l = append(l, o)
 		}
 	}
@@ -151,10 +152,12 @@
 	}
 }
 
-// explain releases the suspects whose endings are explained by others that are held.
+// explain releases the suspects whose endings are explained by others that are held. Only a gateway
+// that decided the hold knows enough to: one that learned it doesn't know the endings since.
 func (i *Isolator) explain() {
+	settled := i.now().Add(-newsTime)
 	for _, k := range slices.Clone(i.held()) {
-		if k.held && k.trials == 0 && k.unserved() > 0 && k.count(i.explanation(k)) == 0 {
+		if k.held && k.decided && k.trials == 0 && k.unserved() > 0 && k.count(i.explanation(k, settled)) == 0 {
 			i.release(k, i.after(k))
 			k.sentUntil = i.now().Add(newsTime)
 		}
--- a/isolator/news.go
+++ b/isolator/news.go
@@ -15,6 +15,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.now()
+	i.explain()
 	var l []*suspect
 	for d, k := range i.suspects {
 		switch {
--- a/isolator/suspect.go
+++ b/isolator/suspect.go
@@ -84,13 +84,17 @@
 }
 
 // covers reports whether all processes that ended under o ended under k.
-func (k *suspect) covers(o *suspect) bool {
+func (k *suspect) covers(o *suspect) bool { return o.unserved() > 0 && k.coversUntil(o, time.Time{}) }
+
+// coversUntil reports whether all processes that ended under o by the given time, or at any time if
+// none is given, ended under k.
+func (k *suspect) coversUntil(o *suspect, until time.Time) bool {
 	for _, e := range o.endings {
-		if !e.served && !k.has(e.process) {
+		if !e.served && (until.IsZero() || !e.ended.After(until)) && !k.has(e.process) {
 			return false
 		}
 	}
-	return o.unserved() > 0
+	return true
 }
 
 // add adds an ending in its order.
