--- a/cmd/eelgrassctl/main.go
+++ b/cmd/eelgrassctl/main.go
@@ -14,6 +14,7 @@
 	"github.com/eelgrassdrift/eelgrassdrift/internal/ctl"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/settings"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
+	"github.com/eelgrassdrift/eelgrassdrift/platform"
 )
 
 func main() {
@@ -22,6 +23,7 @@
 		In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Version: settings.Version,
 		IsTerminal: term.IsTerminal(int(os.Stdout.Fd())),
 		NewID:      uuid.New, Rand: rand.Reader, Sleep: sleeper.Sleep,
+		ReadConfiguration: platform.ReadDocument, DecodeOperator: platform.Operator,
 	}
 	code := app.Run(ctx, os.Args)
 	stop()
--- a/connector/error.go
+++ b/connector/error.go
@@ -16,6 +16,8 @@
 	RetryAfter time.Duration
 	// First is the oldest offset that the log still has if a read was below it.
 	First uint64
+	// Epoch is that of the log in a response to such a read; 0 if it isn't known.
+	Epoch uint64
 	// Err is the cause.
 	Err error
 }
--- a/connector/http.go
+++ b/connector/http.go
@@ -25,15 +25,15 @@
 
 // send sends one request. The caller closes the response body. A transport
 // failure is of kind Unavailable if no connection was made, else OutcomeUnknown.
-func (c apiClient) send(ctx context.Context, op, method, path string, body []byte, header http.Header) (*http.Response, error) {
+func (c apiClient) send(ctx context.Context, op, method, path string, body []byte, names http.Header) (*http.Response, error) {
 	q, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, &Error{Op: op, Kind: classifier.Invalid, Err: errors.WithStack(err)}
 	}
-	for k, v := range header {
+	for k, v := range names {
 		q.Header[k] = v
 	}
-	r, err := c.client.Do(q)
+	r, err := header.Do(c.client, q)
 	if err != nil {
 		return nil, &Error{Op: op, Kind: TransportKind(err), Err: err}
 	}
@@ -70,11 +70,12 @@
 	var v struct {
 		Error string `json:"error"`
 		First uint64 `json:"first"`
+		Epoch uint64 `json:"epoch"`
 	}
 	if json.Unmarshal(b, &v) != nil || v.Error == "" {
 		v.Error = http.StatusText(r.StatusCode)
 	}
-	e.First = v.First
+	e.First, e.Epoch = v.First, v.Epoch
 	e.Err = errors.Newf("status %d: %s", r.StatusCode, v.Error)
 	return e
 }
--- a/connector/log.go
+++ b/connector/log.go
@@ -6,12 +6,16 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // The streams of the log that this system uses.
 const (
 	ConfigurationStream = "configuration"
 	SnapshotStream      = "snapshots"
+	// EpochStream holds records of how long the log has been in its epoch.
+	EpochStream = "epochs"
 )
 
 // IntentStream returns the name of the stream of a service's intents.
@@ -32,7 +36,10 @@
 	First uint64 `json:"first"`
 	// Next is the offset to read from next; it is one above the newest record
 	// when the batch reaches the end.
-	Next    uint64  `json:"next"`
+	Next uint64 `json:"next"`
+	// Epoch is 1 in a log that never returned from an older copy and increases each time it does,
+	// after which offsets of lower epochs mean nothing; 0 if it isn't known.
+	Epoch   uint64  `json:"epoch,omitempty"`
 	Entries []Entry `json:"records"`
 }
 
@@ -46,29 +53,51 @@
 	// first. If the offset is below the oldest, the error is an *Error of kind
 	// NotFound with First set.
 	Read func(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Batch, error)
+	// Unconfirmed is called by Read of NewLog with the first response of an epoch that is too far above
+	// the known one, 0 if none is, to be trusted without a second response. It may be nil.
+	Unconfirmed func(epoch, known uint64)
+
+	epochs epochChecker
 }
 
 // NewLog returns a client of the log at the base URL.
 func NewLog(base string, client *http.Client) *Log {
 	c := apiClient{base: base, client: client}
-	return &Log{
-		Append: func(ctx context.Context, stream string, bodies [][]byte) (uint64, error) {
-			in := struct {
-				Records [][]byte `json:"records"`
-			}{bodies}
-			var out struct {
-				First uint64 `json:"first-offset"`
-			}
-			path := "/v1/streams/" + url.PathEscape(stream) + "/records"
-			err := c.callJSON(ctx, "append to "+stream, http.MethodPost, path, in, &out)
-			return out.First, err
-		},
-		Read: func(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Batch, error) {
-			var b Batch
-			path := fmt.Sprintf("/v1/streams/%s/records?from=%d&max=%d&wait-ms=%d",
-				url.PathEscape(stream), from, limit, wait.Milliseconds())
-			err := c.callJSON(ctx, "read "+stream, http.MethodGet, path, nil, &b)
-			return b, err
-		},
+	l := new(Log)
+	l.Append = func(ctx context.Context, stream string, bodies [][]byte) (uint64, error) {
+		in := struct {
+			Records [][]byte `json:"records"`
+		}{bodies}
+		var out struct {
+			First uint64 `json:"first-offset"`
+		}
+		path := "/v1/streams/" + url.PathEscape(stream) + "/records"
+		err := c.callJSON(ctx, "append to "+stream, http.MethodPost, path, in, &out)
+		return out.First, err
+	}
+	l.Read = func(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Batch, error) {
+		var b Batch
+		if l.epochs.isPending() {
+			// The response that confirms the epoch must not wait for a record.
+			wait = 0
+		}
+		path := fmt.Sprintf("/v1/streams/%s/records?from=%d&max=%d&wait-ms=%d",
+			url.PathEscape(stream), from, limit, wait.Milliseconds())
+		op := "read " + stream
+		began := time.Now()
+		err := c.callJSON(ctx, op, http.MethodGet, path, nil, &b)
+		epoch := b.Epoch
+		var e *Error
+		if errors.As(err, &e) {
+			epoch = e.Epoch
+		}
+		if e := l.checkEpoch(op, epoch, began); e != nil {
+			return Batch{}, e
+		}
+		if err != nil {
+			return Batch{}, err
+		}
+		return b, nil
 	}
+	return l
 }
--- a/connector/table.go
+++ b/connector/table.go
@@ -11,11 +11,24 @@
 	Key string `json:"key"`
 	// Value is nil if the key was deleted.
 	Value []byte `json:"value,omitempty"`
+	// Packed is the compressed value, in place of Value, in a message between processes; nil
+	// everywhere else.
+	Packed []byte `json:"packed,omitempty"`
 	// Offset increases with each record of the table.
 	Offset uint64 `json:"offset"`
 	// Stamp is the newest known stamp of the records of a deleted key; nil if none is known,
 	// and in an item with a value, which has its own.
 	Stamp *Stamp `json:"stamp,omitempty"`
+	// Lost reports that the record is of an earlier epoch and that the store, which returned from
+	// an older copy, lacks it. Offset is an offset of that epoch. It is false in items of the
+	// store.
+	Lost bool `json:"lost,omitempty"`
+	// Carried is set in a deletion that was known before the store returned from an older copy, so
+	// that its Offset is no offset of its own: it is the highest offset of the earlier epoch at
+	// which a record of the key was deleted. It is 0 in items of the store.
+	Carried uint64 `json:"carried,omitempty"`
+	// Earlier is the epoch of Carried or, in a lost item, of Offset; 0 if it isn't known.
+	Earlier uint64 `json:"earlier,omitempty"`
 }
 
 // Changes is the result of a read of a table.
@@ -23,6 +36,9 @@
 	Items []Item `json:"items"`
 	// Next is the offset to read from next.
 	Next uint64 `json:"next"`
+	// Epoch increases each time the store returns from an older copy of the log, after which
+	// offsets of lower epochs mean nothing; 0 if it isn't known.
+	Epoch uint64 `json:"epoch,omitempty"`
 	// Full reports whether Items holds all keys of the table, so that the reader
 	// deletes all others; otherwise Items holds only the changes.
 	Full bool `json:"full,omitempty"`
@@ -36,6 +52,12 @@
 	Delay time.Duration `json:"-"`
 }
 
+// Position is the end of a table that was read.
+type Position struct {
+	// Epoch and Next are those of Changes.
+	Epoch, Next uint64
+}
+
 // Table is a topic of the platform's log that keeps the newest record of each key.
 type Table struct {
 	// Read returns the changes starting at offset from, and waits up to wait for
@@ -43,9 +65,10 @@
 	Read func(ctx context.Context, from uint64, wait time.Duration) (Changes, error)
 	// Put writes the record of a key; a nil value deletes the key.
 	Put func(ctx context.Context, key string, value []byte) error
-	// PutAt does the same if nothing was written to the table since the offset, the next one of
-	// a read. Otherwise the error is of kind Conflict.
-	PutAt func(ctx context.Context, key string, value []byte, offset uint64) error
+	// PutAt does the same if nothing was written to the table since a read with the given
+	// position. Otherwise the error is of kind Conflict; if the store returned from an older copy
+	// meanwhile, the record may be there all the same.
+	PutAt func(ctx context.Context, key string, value []byte, p Position) error
 	// Reconnect closes the idle connections to the store.
 	Reconnect func()
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -23,6 +23,9 @@
 	// Domain and Region are the failure domain and region of this gateway.
 	Domain, Region string
 	Cold           ColdLimit
+	// LowestShare is the part of the slots that less urgent requests always get, where the
+	// requests to a service differ in rank.
+	LowestShare float64
 	// Grace is how long an older version may be used after this gateway learned
 	// of a newer one.
 	Grace time.Duration
@@ -40,6 +43,17 @@
 	// Noticed is called, with a lock held, when an endpoint says that it leaves or pauses; it
 	// may be nil and must not block.
 	Noticed func(e observer.Endpoint, v Notice, from NoticeSource)
+	// Withheld is called, with a lock held, when slots of a service begin to be kept from less
+	// urgent requests that could use them, with their number, and when that has ended; it may be
+	// nil and must not block.
+	Withheld func(service string, slots float64, began bool)
+	// PaceChanged is called when an engine becomes slow or ends to be, and LengthsKnown when the lengths
+	// of a route's answers become known, with a lock held; they may be nil and must not block.
+	PaceChanged  func(c PaceChange)
+	LengthsKnown func(k LengthsKnown)
+	// UnevenChanged is called when the lengths of a service's responses begin to vary widely, and when
+	// they no longer do, with a lock held; it may be nil and must not block.
+	UnevenChanged func(c UnevenChange)
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
 
@@ -55,9 +69,24 @@
 	// room is the longest prompt processing time that fits at an endpoint with a free slot, as
 	// the last call of pick found.
 	room time.Duration
+	// kept reports whether the request of the present call of pick has to leave the free slots
+	// to more urgent ones, and withheld why one was left that it could have used.
+	kept     bool
+	withheld withholding
+	// owed reports whether the present or last call of pick gave the request the place of one of
+	// the most urgent rank, since it is owed a slot and found none otherwise.
+	owed bool
+	// extra is the number of requests that the present call of pick may send to an endpoint beyond
+	// its slots, and prefillPart the part of its reading time that their prompts may use.
+	extra       int
+	prefillPart float64
+	// table is the table that was last applied.
+	table *resolver.Table
 	// listed reports whether an endpoint list has been applied. Endpoints of the
 	// first list aren't taken for newly started.
 	listed bool
+	// stampBase is the time from which time stamps of demands are counted.
+	stampBase time.Time
 	// availability holds what processes of endpoints have said about the requests that they
 	// want. It alone decides that, beside the endpoint list.
 	availability map[process]*availability
@@ -83,6 +112,8 @@
 	// generates the first token, and Answer the largest number of tokens that it generates; 0
 	// for a service without engines.
 	Prompt, Answer int
+	// Hint is the caller's estimate of the number of tokens of the answer; 0 if there is none.
+	Hint int
 }
 
 // rank returns the priority of the request in the queue; the lowest value is first.
@@ -127,7 +158,12 @@
 	d.gatewayList = gateways
 	d.gateways = max(len(names), 1)
 	d.addPools(t, list)
+	isNew := t != d.table
+	d.table = t
 	for _, p := range d.pools {
+		if isNew {
+			d.forgetWideRoutes(p, t)
+		}
 		s := t.Service(p.service)
 		if s != nil {
 			d.updatePool(p, s)
@@ -139,8 +175,10 @@
 		}
 		d.updateSharers(p, rank)
 		d.updateCold(p)
+		d.updateReserve(p, t, now)
 		d.grant(p)
 		d.refuseLate(p, now)
+		d.notePaces(p, now)
 		overdue = append(overdue, d.takeOverdue(p, now)...)
 	}
 	d.listed = true
@@ -162,6 +200,7 @@
 
 func (d *Dispatcher) updatePool(p *pool, s *resolver.Service) {
 	p.cold = d.Cold.share(s.ColdRate, d.gateways)
+	p.coldBound = int(d.Cold.Bound(s.ColdRate))
 	if s.Engine != nil {
 		p.model, p.readRate = s.Engine.Model, s.Engine.ReadRate
 		p.target = d.State.Target(p.model, d.Grace)
@@ -221,8 +260,13 @@
 				n.begins.forget()
 			}
 			n.report, n.reportedAt, n.inFlightAtReport = r, d.now(), n.inFlight
+			n.unbegunAtReport = len(n.begins.pending)
 			p.reportedAt = n.reportedAt
 			n.noteConfirmed(r)
+			if r.From.Addr().Unmap() == n.Address.Addr().Unmap() {
+				n.agent = r.From
+			}
+			d.takeOffer(p, n, r)
 			if r.Leaving {
 				d.note(p, n, Notice{Leaving: true}, FromReport)
 			}
@@ -259,13 +303,15 @@
 	if p == nil {
 		return nil, nil, p.refuseUnserved(r, now)
 	}
+	p.noteArrival(r, now)
+	p.pressure.arrived.add(now)
 	// Free slots go to queued requests first. Slots that these can't use, for
 	// example because of their regions, are available to this request.
 	d.grant(p)
 	if n := d.pick(p, r, now); n != nil {
 		return d.lease(p, n, r, now), nil, nil
 	}
-	w := &waiter{pool: p, request: r, rank: r.rank(), latest: p.latestStart(r), since: now, granted: make(chan waitResult, 1)}
+	w := &waiter{pool: p, request: r, rank: r.rank(), latest: p.latestStart(r), since: now, granted: make(chan waitResult, 1), withheld: d.withheld}
 	if !d.mayHold(p, w, now) {
 		if err := d.checkWait(p, w, now); err != nil {
 			return nil, nil, err
@@ -285,6 +331,18 @@
 	Endpoints, InFlight, Queued     int
 	Loaded, Cold, Draining, Avoided int
 	Leaving, Paused                 int
+	// Ranks holds the requests of each rank, the most urgent first; empty if all have one.
+	Ranks []RankStatus
+	// Slow is the number of engines that count as slow, and Unwritten that of the events that
+	// requests of this gateway have yet to get, as far as lengths are known and in effect.
+	Slow      int
+	Unwritten float64
+	// Lent is the number of cold endpoints of which this gateway holds permits, and Permits counts
+	// those that it got and those that it used.
+	Lent    int
+	Permits PermitCounts
+	// Uneven reports whether the lengths of responses vary widely, so that they are in effect.
+	Uneven bool
 }
 
 // Status returns the counts of all services.
@@ -294,13 +352,18 @@
 	now := d.now()
 	var l []Status
 	for _, p := range d.pools {
-		s := Status{Service: p.service, Endpoints: len(p.nodes), Queued: len(p.queue)}
+		s := Status{
+			Service: p.service, Endpoints: len(p.nodes), Queued: len(p.queue), Ranks: p.rankStatus(now), Unwritten: p.unwritten(), Permits: p.permitCounts,
+			Uneven: p.uneven.isActive,
+		}
 		for _, n := range p.nodes {
 			s.InFlight += n.inFlight
 			s.Draining += boolToInt(n.Draining)
 			s.Cold += boolToInt(now.Before(n.coldUntil))
 			s.Leaving += boolToInt(n.isLeaving())
 			s.Paused += boolToInt(n.isPaused(now))
+			s.Slow += boolToInt(n.pace.isSlow(now))
+			s.Lent += boolToInt(now.Before(n.coldUntil) && n.permits.isHolder(now))
 			s.Avoided += boolToInt(now.Before(n.avoidUntil) || n.isSuspect(now))
 			s.Loaded += boolToInt(p.model == "" || n.version(p.model, now) >= max(1, p.target.Version))
 		}
--- a/dispatcher/grant.go
+++ b/dispatcher/grant.go
@@ -20,24 +20,36 @@
 // no slot.
 func (d *Dispatcher) grantOne(p *pool, now time.Time) bool {
 	p.unplaced = p.unplaced[:0]
+	if w := p.owed(now); w != nil && d.grantTo(p, w, now) {
+		return true
+	}
 	for _, w := range p.queue {
-		if p.isUnplaced(w.request) {
+		if u := p.findUnplaced(w.request); u != nil && p.prefillTime(w.request) > u.room {
+			w.withheld = max(w.withheld, u.withheld)
 			continue
 		}
-		n := d.pick(p, w.request, now)
-		if n == nil {
-			p.noteUnplaced(w.request, d.room)
-			continue
+		if d.grantTo(p, w, now) {
+			return true
 		}
-		p.remove(w)
-		l := d.lease(p, n, w.request, now)
-		l.Waited = now.Sub(w.since)
-		w.granted <- waitResult{lease: l}
-		return true
 	}
 	return false
 }
 
+// grantTo assigns a slot to a queued request and reports whether there was one.
+func (d *Dispatcher) grantTo(p *pool, w *waiter, now time.Time) bool {
+	n := d.pick(p, w.request, now)
+	if n == nil {
+		w.withheld = max(w.withheld, d.withheld)
+		p.noteUnplaced(w.request, unplaced{room: d.room, withheld: d.withheld})
+		return false
+	}
+	p.remove(w)
+	l := d.lease(p, n, w.request, now)
+	l.Waited, l.Reserved, l.ReservedElsewhere = now.Sub(w.since), w.withheld != notWithheld, w.withheld == leftElsewhere
+	w.granted <- waitResult{lease: l}
+	return true
+}
+
 // constraints are the properties of a request, except its prompt length, that
 // determine which slots it may use.
 type constraints struct {
@@ -45,6 +57,8 @@
 	// account is nil for client accounts that don't restrict regions, as these are
 	// equivalent.
 	account *resolver.Account
+	// rank is that of the match; accounts on one route may differ in it.
+	rank    int
 	resumed bool
 }
 
@@ -54,26 +68,23 @@
 	// room is the longest prompt processing time for which there is a slot; negative if there
 	// is none.
 	room time.Duration
+	// withheld tells why one is kept from them, if so.
+	withheld withholding
 }
 
 func (r Request) constraints() constraints {
-	m := constraints{route: r.Match.Route, resumed: r.Resumed}
+	m := constraints{route: r.Match.Route, rank: r.Match.Rank(), resumed: r.Resumed}
 	if a := r.Match.Account; a != nil && len(a.Regions) > 0 {
 		m.account = a
 	}
 	return m
 }
 
-// isUnplaced reports whether a request with the same constraints has shown in this pass that
-// there is no slot.
-func (p *pool) isUnplaced(r Request) bool {
-	u := p.findUnplaced(r)
-	return u != nil && p.prefillTime(r) > u.room
-}
-
-func (p *pool) noteUnplaced(r Request, room time.Duration) {
+// noteUnplaced records in this pass that there is no slot for requests with the same constraints.
+func (p *pool) noteUnplaced(r Request, u unplaced) {
 	if len(r.Exclude) == 0 && p.findUnplaced(r) == nil {
-		p.unplaced = append(p.unplaced, unplaced{r.constraints(), room})
+		u.constraints = r.constraints()
+		p.unplaced = append(p.unplaced, u)
 	}
 }
 
--- a/dispatcher/lease.go
+++ b/dispatcher/lease.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
@@ -16,6 +17,16 @@
 	Waited time.Duration
 	// Load is the estimated number of requests at the endpoint, without this one.
 	Load int
+	// Reserved reports whether the request waited while slots were free that were kept for more
+	// urgent ones.
+	Reserved bool
+	// ReservedElsewhere reports whether all of these were left to requests that wait at other gateways.
+	ReservedElsewhere bool
+	// Owed reports whether the request got the slot before more urgent ones, as part of the lowest
+	// share. The endpoint has to read it among the most urgent ones, or it waits there instead.
+	Owed bool
+	// Expected is the number of events that the answer is expected to have; 0 if it isn't known.
+	Expected float64
 
 	d       *Dispatcher
 	pool    *pool
@@ -29,6 +40,10 @@
 	begunAt time.Time
 	// grantedAt is the time of sentAt on the clock of package timekeeper.
 	grantedAt time.Time
+	// events is the number of events that have arrived, and maxEvents the largest number of the
+	// answer if Expected is known.
+	events    atomic.Int32
+	maxEvents float64
 	// served reports whether Done(Served) was called. The lock of d guards it.
 	served bool
 }
@@ -61,21 +76,24 @@
 )
 
 func (d *Dispatcher) lease(p *pool, n *node, r Request, now time.Time) *Lease {
-	l := &Lease{Endpoint: n.Endpoint, Load: n.load(now, d.gateways), d: d, pool: p, node: n, request: r, sentAt: now, grantedAt: d.State.Now()}
+	l := &Lease{Endpoint: n.Endpoint, Load: n.load(now, d.gateways), Owed: d.owed, d: d, pool: p, node: n, request: r, sentAt: now, grantedAt: d.State.Now()}
 	if p.model != "" {
 		l.Version = n.version(p.model, now)
 		n.begins.pending = append(n.begins.pending, l)
 	}
 	l.prefill = p.prefillTime(r)
+	l.setLength()
 	n.prefill += l.prefill
 	n.inFlight++
-	p.trim(now)
-	p.assigned = append(p.assigned, now)
+	p.reserve.take(r.Match.Rank(), now)
+	p.assigned = append(trim(p.assigned, now), now)
+	n.hold(l)
 	if n.isResuming(now) {
 		n.availability.resumed++
 	}
 	if !now.After(n.coldUntil) {
 		n.coldSent = append(n.coldSent, now)
+		n.permits.use(now)
 	}
 	return l
 }
@@ -120,6 +138,8 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	n.inFlight--
+	l.pool.reserve.release(l.request.Match.Rank())
+	n.drop(l)
 	if o == Served || o == Full {
 		n.respondedAt = now
 	}
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/eelgrassdrift/eelgrassdrift/lender"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 )
@@ -63,6 +64,14 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// LinkDelay is how long bytes to the endpoint wait in the link of its instance now.
 	LinkDelay recorder.Duration `json:"link-delay,omitempty"`
+	// Lending is set while the agent lends the rate of a cold endpoint; it then holds the permits of
+	// the receiving gateway.
+	Lending *lender.Offer `json:"lending,omitempty"`
+	// From is the address from which the report came; the zero value if that isn't known.
+	From netip.AddrPort `json:"-"`
+	// Waiting holds how many requests wait for the endpoint at other gateways than the receiving one,
+	// by the place of their rank among those of the service, the most urgent first.
+	Waiting []int `json:"waiting,omitempty"`
 }
 
 // node is an endpoint as this gateway sees it. The dispatcher's lock guards it.
@@ -75,9 +84,15 @@
 	inFlight int
 	// report is the last report; reportedAt is zero if there was none, and
 	// inFlightAtReport the leases at that time.
-	report           Report
-	reportedAt       time.Time
+	report     Report
+	reportedAt time.Time
+	// agent is the address from which the instance of the endpoint last sent a report.
+	agent            netip.AddrPort
 	inFlightAtReport int
+	// unbegunAtReport is the number of those that hadn't begun, and leases holds the leases.
+	unbegunAtReport int
+	leases          []*Lease
+	pace            pace
 	// respondedAt is when the endpoint last responded to a request of this gateway.
 	respondedAt time.Time
 
@@ -115,6 +130,7 @@
 	// coldSent holds the times of the last requests while the endpoint is cold, the
 	// oldest first.
 	coldSent []time.Time
+	permits  permits
 }
 
 // limit is the number of requests that all gateways may have at the endpoint.
@@ -162,16 +178,24 @@
 }
 
 // isColdLimited reports whether the endpoint is cold and this gateway has used up
-// its share of requests for the present coldRateWindow.
+// its permits or, if it has none, its share of requests for the present coldRateWindow.
 func (n *node) isColdLimited(now time.Time) bool {
 	if now.After(n.coldUntil) {
 		n.coldSent = n.coldSent[:0]
 		return false
 	}
+	n.trimColdSent(now)
+	if n.permits.isHolder(now) {
+		return n.permits.left(now) == 0
+	}
+	return len(n.coldSent) >= n.coldShare
+}
+
+// trimColdSent drops the times of requests that are older than coldRateWindow.
+func (n *node) trimColdSent(now time.Time) {
 	for len(n.coldSent) > 0 && now.Sub(n.coldSent[0]) > coldRateWindow {
 		n.coldSent = n.coldSent[1:]
 	}
-	return len(n.coldSent) >= n.coldShare
 }
 
 // recordFailure counts a failure and marks the endpoint as suspect, for a time that
--- a/dispatcher/pick.go
+++ b/dispatcher/pick.go
@@ -75,10 +75,12 @@
 // pick returns an endpoint that has capacity and a low relative load, or nil.
 // Suspect endpoints are picked only if no other is usable.
 func (d *Dispatcher) pick(p *pool, r Request, now time.Time) *node {
-	d.room = noRoom
+	d.room, d.kept, d.withheld, d.owed = noRoom, false, notWithheld, false
 	if !d.isCurrent() {
 		return nil
 	}
+	d.setLimits(p, r, now)
+	d.kept = d.isKept(p, r, now)
 	n, preferred := d.pickAmong(p, r, now, preferredTier)
 	if n != nil {
 		return n
@@ -87,6 +89,18 @@
 	if n == nil && !preferred && !others {
 		n, _ = d.pickAmong(p, r, now, suspectTier)
 	}
+	if d.kept {
+		// A slot that is kept has no room for a shorter prompt either.
+		d.room = noRoom
+	}
+	if n == nil && preferred && !r.Resumed && p.reserve.isOwed(r.Match.Rank(), now) {
+		d.kept, d.owed = false, true
+		d.setLimits(p, r, now)
+		n, _ = d.pickAmong(p, r, now, preferredTier)
+	}
+	if n == nil {
+		d.noteWithheld(p, r, now)
+	}
 	return n
 }
 
@@ -103,7 +117,9 @@
 		}
 		found = true
 		switch {
-		case !d.hasCapacity(p, n, r, now), t == spillTier && !d.hasSpareCapacity(p, n, now):
+		case t == spillTier && !d.hasSpareCapacity(p, n, r, now), !d.hasCapacity(p, n, r, now):
+		case t == preferredTier && d.kept:
+			d.withheld = keptHere
 		case n.Region == d.Region:
 			near = append(near, n)
 		default:
@@ -139,27 +155,34 @@
 }
 
 // hasCapacity reports whether the endpoint has a free slot for the request and,
-// unless the request resumes a stream, few enough prompts pending.
+// unless the request resumes a stream, few enough prompts pending and no more urgent requests
+// of other gateways that wait for the slot.
 func (d *Dispatcher) hasCapacity(p *pool, n *node, r Request, now time.Time) bool {
-	if n.load(now, d.gateways) >= n.limit() || n.isColdLimited(now) || n.isResumeLimited(now) {
+	if n.load(now, d.gateways) >= d.slotLimit(n) || n.isColdLimited(now) || n.isResumeLimited(now) {
 		return false
 	}
-	if r.Resumed || n.prefill == 0 {
-		return true
+	room, none := d.prefillRoom(p, n, r)
+	fits := r.Resumed || none || p.prefillTime(r) <= room
+	if left := d.leftToOthers(p, n, r, now); left > 0 && n.load(now, d.gateways)+left >= d.slotLimit(n) {
+		if fits {
+			d.withheld = max(d.withheld, leftElsewhere)
+		}
+		return false
+	}
+	if !r.Resumed && !none {
+		d.room = max(d.room, room)
 	}
-	room := d.prefillLimit(n) - n.prefill
-	d.room = max(d.room, room)
-	return p.prefillTime(r) <= room
+	return fits
 }
 
 // score returns the relative load of an endpoint plus the costs of distance,
 // failures, an old version, pending prompts and the delay in its link; the lowest is best.
 func (d *Dispatcher) score(p *pool, n *node, now time.Time) float64 {
-	s := float64(n.load(now, d.gateways))/float64(n.limit()) + d.distanceCost(n) + failureCost*n.failureRate
+	s := d.workAt(p, n, now)/float64(n.limit()) + d.distanceCost(n) + failureCost*n.failureRate
 	if p.model != "" && n.version(p.model, now) < p.target.Version {
 		s += oldVersionCost
 	}
-	return s + prefillCost*float64(n.prefill+n.linkDelay(now))/float64(maxPrefill)
+	return s + prefillCost*float64(p.unreadAt(n, now)+n.linkDelay(now))/float64(maxPrefill)
 }
 
 // prefillTime returns the estimated time that an engine takes to process the prompt.
--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -40,6 +40,8 @@
 	latest  time.Time
 	since   time.Time
 	granted chan waitResult
+	// withheld tells why a free slot was kept from it, if so.
+	withheld withholding
 }
 
 // compareWaiters orders the queue: by priority, and then by the time to spare. A request that
@@ -78,10 +80,11 @@
 	reportedAt time.Time
 	// refusedAt is when a request was last refused for lack of a slot.
 	refusedAt time.Time
-	// returnAt is the time up to which refused callers have been told to come back one after
-	// the other.
-	returnAt time.Time
+	// returnAt is the time up to which refused callers of each rank have been told to come back
+	// one after the other.
+	returnAt map[int]time.Time
 	crowd    crowd
+	reserve  reserve
 	// model is the model of the engines; empty for a service without engines.
 	model string
 	// readRate is the number of prompt tokens that an engine processes per second.
@@ -94,12 +97,22 @@
 	// lateFloor is the newest version whose predecessors may no longer be used soon.
 	lateFloor int64
 	cold      coldShare
+	// coldBound is the number of requests per second that all gateways may send to a cold endpoint.
+	coldBound int
 	// firstToken is the time to the first token of all requests, and work the work of each
 	// route.
 	firstToken average
 	work       map[string]*routeWork
+	workload   workload
+	uneven     uneven
 	// unplaced is a buffer that grantOne reuses.
 	unplaced []unplaced
+	// pressure counts the recent requests, and permitCounts the permits of cold endpoints.
+	pressure     pressure
+	permitCounts PermitCounts
+	// statedTo holds the last statements of waiting requests, and statements counts the rounds.
+	statedTo   []Waiting
+	statements int
 	// assigned holds the times within rateWindow at which requests got a slot.
 	assigned []time.Time
 }
@@ -108,6 +121,7 @@
 	if len(p.queue) == 0 {
 		p.waitingSince = now
 	}
+	p.pressure.waitedAt = now
 	p.queue = slices.Insert(p.queue, p.place(w), w)
 }
 
@@ -117,9 +131,19 @@
 }
 
 // ahead returns the number of queued requests that precede one with more time to spare, as a
-// caller has that comes back.
-func (p *pool) ahead(r Request) int {
-	return sort.Search(len(p.queue), func(i int) bool { return p.queue[i].rank > r.rank() })
+// caller has that comes back, and that get their slots at the rate by which slotTime goes.
+func (p *pool) ahead(r Request, now time.Time) int {
+	n := sort.Search(len(p.queue), func(i int) bool { return p.queue[i].rank > r.rank() })
+	return p.aheadAtRate(p.queue, r, n, now)
+}
+
+// aheadAtRate returns how many of the first k requests of a queue get their slots before the
+// request at the rate by which slotTime goes: that of rateOf, or that of all if it isn't known.
+func (p *pool) aheadAtRate(queue []*waiter, r Request, k int, now time.Time) int {
+	if p.rateOf(r, now) == 0 {
+		return k
+	}
+	return p.aheadOf(queue, r, k)
 }
 
 // remove takes a waiter off the queue and reports whether it was there.
@@ -142,29 +166,41 @@
 	if len(p.queue) == 0 {
 		return 0
 	}
-	p.trim(now)
+	p.assigned = trim(p.assigned, now)
+	from := p.rateStart(now)
+	if now.Sub(from) < minRateTime {
+		return 0
+	}
+	return float64(countAfter(p.assigned, from)) / now.Sub(from).Seconds()
+}
+
+// rateStart returns the time from which the rate of the queue is measured.
+func (p *pool) rateStart(now time.Time) time.Time {
 	from := now.Add(-rateWindow)
 	for _, t := range []time.Time{p.waitingSince, p.blockedAt, p.heldAt} {
 		if t.After(from) {
 			from = t
 		}
 	}
-	if now.Sub(from) < minRateTime {
-		return 0
-	}
+	return from
+}
+
+// countAfter returns the number of the times, in order, that are after from.
+func countAfter(l []time.Time, from time.Time) int {
 	n := 0
-	for i := len(p.assigned); i > 0 && p.assigned[i-1].After(from); i-- {
+	for i := len(l); i > 0 && l[i-1].After(from); i-- {
 		n++
 	}
-	return float64(n) / now.Sub(from).Seconds()
+	return n
 }
 
-func (p *pool) trim(now time.Time) {
+// trim returns the times, in order, that are within rateWindow.
+func trim(l []time.Time, now time.Time) []time.Time {
 	i := 0
-	for i < len(p.assigned) && now.Sub(p.assigned[i]) > rateWindow {
+	for i < len(l) && now.Sub(l[i]) > rateWindow {
 		i++
 	}
-	p.assigned = p.assigned[i:]
+	return l[i:]
 }
 
 // expectedWait returns the time in which n queued requests get their slots at the rate, plus a
@@ -196,10 +232,10 @@
 	}
 	left := w.latest.Sub(now)
 	if left <= 0 || len(p.queue) >= maxQueue {
-		return p.refuseFull(r, p.ahead(r), now, "full")
+		return p.refuseFull(r, p.ahead(r, now), now, w.reason("full"))
 	}
-	if usable > 0 && expectedWait(p.place(w)+1, p.rate(now), acceptDeviations) > left {
-		return p.refuseFull(r, p.ahead(r), now, "queue-too-long")
+	if usable > 0 && expectedWait(p.aheadOf(p.queue, r, p.place(w))+1, p.rateOf(r, now), acceptDeviations) > left {
+		return p.refuseFull(r, p.ahead(r, now), now, w.reason("queue-too-long"))
 	}
 	return nil
 }
@@ -215,14 +251,18 @@
 	if isPaused || !d.mayAssign(p, now) {
 		p.blockedAt = now
 	}
-	rate := p.rate(now)
+	rate := p.rateOf(p.queue[0].request, now)
+	rank := p.queue[0].rank
 	kept := p.queue[:0]
 	for _, w := range p.queue {
+		if w.rank != rank {
+			rate, rank = p.rateOf(w.request, now), w.rank
+		}
 		switch {
 		case now.After(w.latest):
-			w.granted <- waitResult{err: p.refuseFull(w.request, len(kept), now, "waited")}
-		case now.Add(expectedWait(len(kept)+1, rate, 0)).After(w.latest):
-			w.granted <- waitResult{err: p.refuseFull(w.request, len(kept), now, "queue-too-long")}
+			w.granted <- waitResult{err: p.refuseFull(w.request, p.aheadAtRate(kept, w.request, len(kept), now), now, w.reason("waited"))}
+		case now.Add(expectedWait(p.aheadOf(kept, w.request, len(kept))+1, rate, 0)).After(w.latest):
+			w.granted <- waitResult{err: p.refuseFull(w.request, p.aheadAtRate(kept, w.request, len(kept), now), now, w.reason("queue-too-long"))}
 		default:
 			kept = append(kept, w)
 		}
@@ -267,7 +307,8 @@
 func (d *Dispatcher) refuseWaited(w *waiter) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return w.pool.refuseFull(w.request, w.pool.ahead(w.request), d.now(), "waited")
+	now := d.now()
+	return w.pool.refuseFull(w.request, w.pool.ahead(w.request, now), now, w.reason("waited"))
 }
 
 // cancelWait removes the waiter from the queue, or returns the end of its wait if that has
--- a/dispatcher/return.go
+++ b/dispatcher/return.go
@@ -34,27 +34,40 @@
 }
 
 // refuseFull returns the error of a request that is refused for lack of a slot with n requests
-// ahead of it, and records the time.
+// ahead of it, and records the time, unless slots were free that are kept: an overload reduces what
+// all ranks may use of engines that the gateway doesn't prefer.
 func (p *pool) refuseFull(r Request, n int, now time.Time, reason string) error {
-	p.refusedAt = now
+	p.pressure.refused.add(now)
+	if !IsReserved(reason) {
+		p.refusedAt = now
+	}
 	return refuse(classifier.Exhausted, reason, p.returnAfter(r, n, now))
 }
 
 // returnAfter returns when the caller of a refused request is to come back that has n requests
 // ahead of it: when the queue will have reached it. Those who are refused one after the other
-// come back so: at one moment they would find slots for few of them.
+// come back so: at one moment they would find slots for few of them. They come back after those of
+// more urgent ranks, and not after those of less urgent ones, whom they precede in the queue.
 func (p *pool) returnAfter(r Request, n int, now time.Time) time.Duration {
 	latest := p.maxReturn(r, now)
 	slot := p.slotTime(r, now)
 	at := now.Add(time.Duration(n) * slot)
-	if p.returnAt.After(at) {
-		at = p.returnAt
+	rank := r.Match.Rank()
+	for k, t := range p.returnAt {
+		if t.Before(now) {
+			delete(p.returnAt, k)
+		} else if k <= rank && t.After(at) {
+			at = t
+		}
 	}
 	at = at.Add(slot)
 	if at.Sub(now) > latest {
 		return p.crowd.spread(latest, slot, now)
 	}
-	p.returnAt = at
+	if p.returnAt == nil {
+		p.returnAt = make(map[int]time.Time)
+	}
+	p.returnAt[rank] = at
 	return at.Sub(now)
 }
 
@@ -67,13 +80,13 @@
 	if p == nil {
 		return p.refuseUnserved(r, now).RetryAfter
 	}
-	return p.returnAfter(r, p.ahead(r), now)
+	return p.returnAfter(r, p.ahead(r, now), now)
 }
 
 // slotTime returns the time between two slots that requests of this gateway get: by the rate of
 // the queue, and else by the usual time of the request and the number under way.
 func (p *pool) slotTime(r Request, now time.Time) time.Duration {
-	if rate := p.rate(now); rate > 0 {
+	if rate := p.rateOf(r, now); rate > 0 {
 		return max(minSlotTime, time.Duration(float64(time.Second)/rate))
 	}
 	running := 1
@@ -89,6 +102,7 @@
 func (p *pool) refuseUnserved(r Request, now time.Time) *Error {
 	d := min(weightsTime, p.maxReturn(r, now))
 	if p != nil {
+		p.pressure.refused.add(now)
 		d = p.crowd.spread(d, p.slotTime(r, now), now)
 	}
 	return refuse(classifier.Unavailable, "no-endpoint", d)
--- a/dispatcher/return_test.go
+++ b/dispatcher/return_test.go
@@ -110,3 +110,68 @@
 		}
 	}
 }
+
+// newFullRankedHarness returns a harness with ranks 0 and 2 whose only engine, of four slots, is full.
+func newFullRankedHarness(t *testing.T) (*harness, []*resolver.Route, []*dispatcher.Lease) {
+	t.Helper()
+	w, routes := newRankedHarness(4, 0, 2)
+	w.run("endpoint e1 a 1")
+	w.d.Update()
+	var leases []*dispatcher.Lease
+	for range 5 {
+		l, _, err := w.d.Begin(dispatcher.Request{Service: "s", Deadline: w.now.Add(30 * time.Second), Match: resolver.Match{Route: routes[0]}})
+		if l == nil || err != nil {
+			t.Fatalf("no slot: %v", err)
+		}
+		leases = append(leases, l)
+	}
+	return w, routes, leases
+}
+
+// returnOf sends a request of a route that may not wait and returns when its caller is to come
+// back.
+func (w *harness) returnOf(t *testing.T, r *resolver.Route) time.Duration {
+	t.Helper()
+	_, _, err := w.d.Begin(dispatcher.Request{Service: "s", Deadline: w.now.Add(30 * time.Second), FirstBy: w.now, Match: resolver.Match{Route: r}})
+	var e *dispatcher.Error
+	if !errors.As(err, &e) {
+		t.Fatalf("got %v, want a refusal", err)
+	}
+	return e.RetryAfter
+}
+
+// A burst of refused callers of a less urgent rank must not push the return of an urgent one
+// behind theirs: it precedes them in the queue.
+func TestReturnsOfRanks(t *testing.T) {
+	w, routes, _ := newFullRankedHarness(t)
+	for range 20 {
+		w.returnOf(t, routes[1])
+	}
+	first, second := w.returnOf(t, routes[0]), w.returnOf(t, routes[0])
+	if first > 500*time.Millisecond || second <= first {
+		t.Errorf("urgent callers come back after %s and %s, want after one and two slots", first, second)
+	}
+	if got := w.returnOf(t, routes[1]); got < 20*first {
+		t.Errorf("the 21st less urgent caller comes back after %s, want it behind the others", got)
+	}
+}
+
+// The rate of less urgent requests has the slots of more urgent ones taken out, so that those
+// who wait with more urgent requests must not be counted at that rate as well.
+func TestReturnBehindUrgentRequests(t *testing.T) {
+	w, routes, leases := newFullRankedHarness(t)
+	for range 20 {
+		if _, q, err := w.d.Begin(dispatcher.Request{Service: "s", Deadline: w.now.Add(30 * time.Second), Match: resolver.Match{Route: routes[0]}}); q == nil {
+			t.Fatalf("not queued: %v", err)
+		}
+	}
+	for _, l := range leases[:4] {
+		w.now = w.now.Add(250 * time.Millisecond)
+		l.Done(dispatcher.Served)
+	}
+	// A less urgent request gets a slot a second at least by the deviation of a count of none, and no
+	// other one waits.
+	if got := w.returnOf(t, routes[1]); got > 2*time.Second {
+		t.Errorf("a less urgent caller comes back after %s, want after one slot of its rank", got)
+	}
+}
--- a/dispatcher/subset.go
+++ b/dispatcher/subset.go
@@ -120,10 +120,13 @@
 }
 
 // hasSpareCapacity reports whether an endpoint may get a request from a gateway that
-// doesn't prefer it.
-func (d *Dispatcher) hasSpareCapacity(p *pool, n *node, now time.Time) bool {
+// doesn't prefer it. One of the most urgent requests of a service with several ranks may use any
+// free slot, as the endpoint admits it first if another gateway has taken it.
+func (d *Dispatcher) hasSpareCapacity(p *pool, n *node, r Request, now time.Time) bool {
 	share := spillLoad
-	if p.isOverloaded(now) {
+	if p.reserve.isActive() && p.reserve.isMostUrgent(r.Match.Rank()) {
+		share = 1
+	} else if p.isOverloaded(now) {
 		share = overloadSpillLoad
 	}
 	return n.prefill == 0 && n.report.Queued == 0 && float64(n.load(now, d.gateways)) < share*float64(n.limit())
--- a/dispatcher/work.go
+++ b/dispatcher/work.go
@@ -17,8 +17,8 @@
 	// minSilence is the time without a byte from which an endpoint may count as silent. A sound
 	// one may be that long, for example an engine that preempts a request.
 	minSilence = 1200 * time.Millisecond
-	// answerTime is the time that a refusal takes to reach its caller.
-	answerTime = 50 * time.Millisecond
+	// refusalTime is the time that a refusal takes to reach its caller.
+	refusalTime = 50 * time.Millisecond
 	// maxRoutes bounds the routes whose work is known.
 	maxRoutes = 4096
 )
@@ -47,6 +47,7 @@
 	// overhead is the time to the first part of the response without that of the prompt, and
 	// token the time per token of the answer after it.
 	overhead, token average
+	length          answerLength
 }
 
 // workOf returns the work of a request: the times from sending it to the first part of its
@@ -60,9 +61,9 @@
 		}
 		return begin, begin
 	}
-	tokens := float64(max(1, r.Answer))
-	mean := p.prefillTime(r) + w.overhead.above(0) + time.Duration(tokens*w.token.mean)
-	deviation := math.Hypot(w.overhead.deviation, tokens*w.token.deviation)
+	answer, spread := w.answerTime(r, p.uneven.isActive)
+	mean := p.prefillTime(r) + w.overhead.above(0) + time.Duration(answer)
+	deviation := math.Hypot(w.overhead.deviation, spread)
 	return p.prefillTime(r) + w.overhead.above(deviations), mean + time.Duration(deviations*deviation)
 }
 
@@ -74,11 +75,11 @@
 		// How much of the answer is left isn't known.
 		end = begin
 	}
-	t := r.Deadline.Add(-end - answerTime)
+	t := r.Deadline.Add(-end - refusalTime)
 	if r.FirstBy.IsZero() {
 		return t
 	}
-	if first := r.FirstBy.Add(-begin - answerTime); first.Before(t) {
+	if first := r.FirstBy.Add(-begin - refusalTime); first.Before(t) {
 		return first
 	}
 	return t
@@ -93,7 +94,7 @@
 	w := p.work[l.request.Match.Route.Name]
 	if w == nil {
 		if p.work == nil || len(p.work) >= maxRoutes {
-			p.work = make(map[string]*routeWork)
+			p.work, p.uneven = make(map[string]*routeWork), uneven{isActive: p.uneven.isActive}
 		}
 		w = &routeWork{}
 		p.work[l.request.Match.Route.Name] = w
@@ -103,7 +104,11 @@
 		begun = now
 	} else if !l.request.Resumed {
 		w.token.observe(now.Sub(begun) / time.Duration(max(1, l.request.Answer)))
+		w.length.observe(l.request, int(l.events.Load()), now.Sub(begun))
 	}
+	l.observeWorkload(&w.length, begun, now)
+	l.d.noteLengths(p, l.request.Match.Route.Name)
+	l.d.noteDeviation(p, l.request.Match.Route.Name)
 	w.overhead.observe(max(time.Microsecond, begun.Sub(l.sentAt)-p.prefillTime(l.request)))
 }
 
--- a/distributor/attempt.go
+++ b/distributor/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 )
 
@@ -51,13 +52,26 @@
 }
 
 // waitCrossRegion waits until this instance's share of CrossRegionRate admits the
-// chunk.
+// chunk. A lower-ranked source most likely has nothing to send: it isn't waited for, and its
+// bytes count once they have arrived. Otherwise the leaders of the origin's region notice half
+// a second late that the origin is back.
 func (t *task) waitCrossRegion(ctx context.Context, s Source) error {
-	size := t.sizes[t.chunk]
-	if !t.f.isCrossRegion(s) || size <= 0 || t.f.CrossRegionRate <= 0 {
+	if !t.isCounted(s) || s.LowerRanked {
 		return nil
 	}
-	return t.f.crossRegion.WaitN(ctx, int(size))
+	return t.f.crossRegion.WaitN(ctx, int(t.sizes[t.chunk]))
+}
+
+// countCrossRegion counts the bytes of a lower-ranked source.
+func (t *task) countCrossRegion(s Source) {
+	if t.isCounted(s) && s.LowerRanked {
+		t.f.crossRegion.ReserveN(t.f.Now(), int(t.sizes[t.chunk]))
+	}
+}
+
+// isCounted reports whether the bytes of a source count for CrossRegionRate.
+func (t *task) isCounted(s Source) bool {
+	return t.f.isCrossRegion(s) && t.sizes[t.chunk] > 0 && t.f.CrossRegionRate > 0
 }
 
 // claim waits until the chunk may be asked for, and while it is arriving from another source
@@ -126,6 +140,7 @@
 		case err != nil:
 			return err
 		case state == "":
+			t.countCrossRegion(s)
 			return nil
 		case len(r.holders) > 0:
 			if t.askHolders(ctx, r.holders, s.Level, hedge) {
@@ -265,7 +280,7 @@
 	q.Header.Set(headerInstance, string(f.Self.Instance))
 	q.Header.Set(headerDomain, string(f.Self.FailureDomain))
 	q.Header.Set(headerRegion, string(f.Self.Region))
-	r, err := f.Client.Do(q)
+	r, err := header.Do(f.Client, q)
 	if err != nil {
 		return reply{}, err
 	}
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -28,6 +28,9 @@
 				mark = " "
 			}
 			fmt.Fprintf(&out, "%s %s %s %s %v\n", mark, l.Time.Format("05.000"), l.Instance, l.Event, l.Fields)
+			if l.Note != "" {
+				fmt.Fprintf(&out, "    %s\n", l.Note)
+			}
 		}
 		return out.String()
 	})
--- a/explainer/line.go
+++ b/explainer/line.go
@@ -22,6 +22,24 @@
 	Fields []Pair `json:"fields"`
 	// Background reports whether the line lacks the request's id.
 	Background bool `json:"background"`
+	// Note says in words what a field of the request's line means; empty if that is plain.
+	Note string `json:"note,omitempty"`
+}
+
+// notes holds the words for fields that tell why a request waited or was refused. The first one counts.
+var notes = []struct{ key, words string }{
+	{"reserved-elsewhere", "slots were free, but left to more urgent requests that waited at other gateways"},
+	{"reserved", "slots were free, but kept for more urgent requests of this gateway"},
+}
+
+// note returns the words for the line; "" if there are none.
+func (l *Line) note() string {
+	for _, n := range notes {
+		if l.Field(n.key) == "true" {
+			return n.words
+		}
+	}
+	return ""
 }
 
 // Field returns the value of the first field with the key, or "" if there is none.
--- a/explainer/timeline.go
+++ b/explainer/timeline.go
@@ -43,6 +43,7 @@
 	"source-lost", "source-regained", "endpoint-changed", "endpoint-gone", "endpoint-leaving", "endpoint-paused", "endpoint-entry-refused", "start", "stop", "stopped",
 	"load-ordered", "version-loaded", "load-failed", "fetch-failed", "engine-lost", "engine-found", "log-lines-dropped",
 	"request-held", "request-released", "trial-claimed", "trial-not-claimed", "released-by-operator",
+	"slots-reserved", "slots-released",
 }
 
 // Timeline holds the log lines of one request and its background, ordered by time.
@@ -78,6 +79,7 @@
 		if l.Field("request") != request {
 			continue
 		}
+		l.Note = l.note()
 		s.Lines = append(s.Lines, l)
 		instances[l.Instance] = true
 		endpoints[l.Field("endpoint")] = true
--- a/follower/doc.go
+++ b/follower/doc.go
@@ -5,4 +5,8 @@
 // only, from the log or from a peer, and never returns to a lower offset. A
 // Follower reads the log into a Replica and submits records. Agents have a Replica
 // and no Follower: their gateway sends them the records.
+//
+// After the log returned from an older copy, revisions are no longer offsets of the
+// log. Followers agree on them by records of the log that hold the State with which
+// an epoch begins (docs/design/restored-store.md).
 package follower
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
@@ -35,6 +37,12 @@
 	// Now defaults to time.Now.
 	Now func() time.Time
 
+	// mu guards fold for Split. Only Run changes it.
+	mu sync.Mutex
+	// epoch is that of the offsets that were read; 0 if it isn't known.
+	epoch uint64
+	// fold is what the log gives; nil in the first epoch and in a log that names none.
+	fold *fold
 	// lastAnswer is the time of the last answer of the log in nanoseconds since 1970.
 	lastAnswer atomic.Int64
 }
@@ -77,6 +85,9 @@
 func (f *Follower) poll(ctx context.Context) error {
 	c, stop := context.WithTimeout(ctx, pollWait+pollMargin)
 	defer stop()
+	if f.fold != nil {
+		return f.pollFold(c)
+	}
 	from := f.Replica.Current().Offset + 1
 	wait := pollWait
 	if !f.Replica.CaughtUp() {
@@ -91,6 +102,9 @@
 	if err != nil {
 		return err
 	}
+	if begun, err := f.checkEpoch(b.Epoch); begun || err != nil {
+		return err
+	}
 	f.lastAnswer.Store(f.now().UnixNano())
 	for _, v := range b.Entries {
 		if err := f.Replica.Apply(v.Offset, v.Body); err != nil {
@@ -103,20 +117,59 @@
 	return nil
 }
 
+// checkEpoch returns an error if the log has returned from an older copy since a batch was sent. It
+// begins a new epoch and returns true if it has returned before.
+func (f *Follower) checkEpoch(epoch uint64) (begun bool, err error) {
+	if epoch != 0 && epoch < f.epoch {
+		return false, &Error{Op: "read configuration", Kind: classifier.Unavailable, Err: errors.Newf("epoch %d, have %d", epoch, f.epoch)}
+	}
+	if epoch <= f.epoch {
+		return false, nil
+	}
+	if epoch > firstEpoch {
+		f.begin(epoch)
+		return true, nil
+	}
+	f.epoch = epoch
+	return false, nil
+}
+
+// LogUnconfirmed returns a function that logs an epoch which has to be confirmed, for
+// connector.Log.Unconfirmed.
+func LogUnconfirmed(l zerolog.Logger) func(epoch, known uint64) {
+	return func(epoch, known uint64) {
+		l.Warn().Uint64("epoch", epoch).Uint64("known", known).Msg("epoch of the log is far above the known one, a second response has to confirm it")
+	}
+}
+
 // restore installs the newest snapshot in place of expired records. It fails if
 // the snapshot does not cover all records before first, the oldest in the log.
 func (f *Follower) restore(ctx context.Context, first uint64) error {
-	s, err := Newest(ctx, f.Log)
+	var n SnapshotReader
+	s, err := n.Newest(ctx, f.Log)
 	if err != nil {
 		return err
 	}
-	if s == nil || s.Offset+1 < first {
+	if n.epoch > firstEpoch {
+		f.begin(n.epoch)
+		return nil
+	}
+	if err := coversRecordsBefore(s, n.part, first); err != nil {
+		return err
+	}
+	f.Replica.Install(s)
+	return nil
+}
+
+// coversRecordsBefore returns an error if a snapshot, of which part is one, doesn't cover all
+// records before first, the oldest in the log.
+func coversRecordsBefore(s *registrar.State, part *Part, first uint64) error {
+	if s == nil || part.logOffset()+1 < first {
 		return &Error{
 			Op: "restore configuration", Kind: classifier.Unavailable,
 			Err: errors.Newf("the log begins at offset %d and no snapshot covers the records before it", first),
 		}
 	}
-	f.Replica.Install(s)
 	return nil
 }
 
--- a/follower/replica.go
+++ b/follower/replica.go
@@ -109,6 +109,9 @@
 }
 
 func (r *Replica) applyBody(s *registrar.State, offset uint64, body []byte) (*registrar.State, error) {
+	if isBeginningPart(body) {
+		return s.Skip(offset), nil
+	}
 	v, err := recorder.Decode(body)
 	if errors.Is(err, recorder.ErrNewerFormat) {
 		r.halted = &Error{Op: "apply record", Kind: classifier.Refused, Err: errors.Wrapf(err, "offset %d", offset)}
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"strconv"
@@ -11,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
+	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/retrier"
 )
 
@@ -101,8 +103,15 @@
 	if c.match.Route != nil {
 		route = c.match.Route.Name
 	}
+	if c.reserved || dispatcher.IsReserved(outcome) {
+		l = l.Bool("reserved", true)
+		if !c.reservedHere && outcome != dispatcher.Reserved {
+			l = l.Bool("reserved-elsewhere", true)
+		}
+	}
 	l.Str("request", c.id).Uint64("revision", c.revision).Str("route", route).Str("service", c.service).Str("outcome", outcome).Int("status", status).
 		Str("endpoint", c.lease.Endpoint.ID).Int64("version", c.lease.Version).Int("load", c.lease.Load).Int("tries", c.tries).
+		Int("hint", c.lengthHint).Float64("expected-events", math.Round(c.lease.Expected)).Int("events", c.lease.Events()).
 		Dur("waited-ms", c.queueTime).Dur("first-ms", c.firstAfter).Dur("total-ms", total).Msg("request")
 	c.noteDuration(outcome, status, total)
 	if c.handler.Observe != nil {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/retrier"
 )
 
@@ -178,6 +179,7 @@
 	a.expect(a.hear().Add(a.lease.SilentAfter()))
 	r, err := a.readHeaders() //nolint:bodyclose // Close would read the rest of the body; the connection is closed instead.
 	if err != nil {
+		a.call.handler.noteInvalid(err)
 		return unknownOutcome("read response", err)
 	}
 	names := a.call.handler.Headers
@@ -210,13 +212,17 @@
 	h := maps.Clone(c.header)
 	h[n.Instance] = []string{a.lease.Endpoint.ID}
 	h[n.Deadline] = []string{strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 1), 10)}
+	if u := urgency(c.ranks, c.match.Rank(), a.lease.Owed, a.begun); u != "" {
+		h[n.Urgency] = []string{u}
+	}
 	if a.resumeFrom != "" {
 		h[n.ResumeFrom] = []string{a.resumeFrom}
 	}
 	if c.hasBody() {
 		h["Content-Length"] = []string{strconv.Itoa(len(c.body))}
 	}
-	b := bufio.NewWriterSize(requestWriter{a}, bufferSize+len(c.body))
+	// A large body isn't copied: attempts at slow endpoints would hold it twice.
+	b := bufio.NewWriterSize(requestWriter{a}, bufferSize+min(len(c.body), requestPartBytes))
 	_, _ = fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.method, c.uri, c.host)
 	// A bufio.Writer returns its first error from Flush.
 	_ = h.Write(b)
@@ -251,15 +257,27 @@
 	defer a.conn.unlimitReads()
 	for {
 		r, err := http.ReadResponse(a.conn.r, &http.Request{Method: a.call.method})
-		if err != nil || r.StatusCode >= http.StatusOK {
-			return r, err
+		if err != nil {
+			return nil, err
+		}
+		if header.CheckInterim(r) == nil {
+			continue
+		}
+		if err := header.CheckResponse(r); err != nil {
+			return nil, err
 		}
-		if r.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("endpoint switched protocols without a request to do so")
+		if hasForbiddenBody(r.StatusCode) && a.conn.r.Buffered() > 0 {
+			return nil, header.BodyForbidden(r)
 		}
+		return r, nil
 	}
 }
 
+// hasForbiddenBody reports whether a response with the status ends with its headers.
+func hasForbiddenBody(status int) bool {
+	return status == http.StatusNoContent || status == http.StatusNotModified
+}
+
 // readRefusal reports whether the endpoint refused the request without running it.
 func (a *attempt) readRefusal() (attemptResult, bool) {
 	r := a.response
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -16,7 +16,7 @@
 // Timeouts of an attempt that may be followed by another one.
 const (
 	// eventGapFactor times the target gap between events is the pause after which another
-	// endpoint is asked to resume the stream as well. Callers abandon it after patienceGaps, so
+	// endpoint is asked to resume the stream as well. Callers abandon it after resolver.Route.Patience, so
 	// the other endpoint has as long.
 	eventGapFactor = 4
 	// minEventTimeout exceeds the pause of an engine that preempts a request.
@@ -44,8 +44,13 @@
 	revision uint64
 	// promptTokens is the length of the prompt, and answerTokens the largest one of the answer.
 	promptTokens, answerTokens int
-	service                    string
-	start, deadline            time.Time
+	// lengthHint is the caller's estimate of the length of the answer; 0 if there is none.
+	lengthHint int
+	service    string
+	// ranks holds the ranks that requests to the service may have.
+	ranks []int
+
+	start, deadline time.Time
 
 	// lease is the lease of the attempt that began or ended last; a zero Lease before the
 	// first.
@@ -66,11 +71,21 @@
 	// value if none did.
 	retry     retrier.Decision
 	queueTime time.Duration
+	// reserved reports whether the request waited, or was refused, while slots were kept for more
+	// urgent ones.
+	reserved bool
+	// reservedHere reports whether any of these were kept for requests of this gateway, and not left to
+	// those that wait at others.
+	reservedHere bool
 	// buffers is what the call holds of the buffers of the handler.
 	buffers receiver.Share
 	// triedEndpoints holds the ids of the endpoints of the attempts so far.
 	triedEndpoints []string
-	firstAfter     time.Duration
+	// unreached holds those of them to which only a dial was made, which timed out, and
+	// dialedAgain the one that was dialed again for that; empty if none was.
+	unreached   []string
+	dialedAgain string
+	firstAfter  time.Duration
 	// suspects returns what may be at fault if endpoints end under the request, its content first.
 	suspects func() []isolator.Suspect
 	// trial holds the suspects of which the request is a trial; nil if it is none.
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -118,6 +118,7 @@
 	}
 	if e.fields.hasData {
 		a.setBegun()
+		a.lease.CountEvent()
 	}
 	if err := e.waitForCaller(func() error { return a.writeEvent(e.event.bytes) }); err != nil {
 		return a.lostCaller(err), true
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -12,6 +13,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sender"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/stopper"
@@ -28,11 +30,6 @@
 	// maxFailedDials bounds the failed dials of one call, which count neither as
 	// attempts nor as retries.
 	maxFailedDials = 4
-	// Callers abandon a stream, also before its first event, after the longest of minPatience,
-	// patienceAims target latencies and patienceGaps target gaps without an event.
-	minPatience  = 2 * time.Second
-	patienceAims = 4
-	patienceGaps = 8
 	// startRetryAfter is the Retry-After time of a gateway that has no configuration yet: after a
 	// loss of all power no gateway has one for about a second.
 	startRetryAfter = time.Second
@@ -83,8 +80,12 @@
 	calls   sync.Map
 	budgets sync.Map
 	buffers receiver.Buffers
+	// capacity is nil if the gateway doesn't know what it can take.
+	capacity *Capacity
 	// noticeErrors limits the log lines about notices.
 	noticeErrors logLimiter
+	// invalid counts the responses of endpoints that HTTP doesn't allow.
+	invalid atomic.Int64
 	// stopper knows how long the requests of each route usually take.
 	stopper stopper.Stopper
 }
@@ -101,6 +102,16 @@
 	Waited, First, Total time.Duration
 }
 
+// InvalidResponses returns the number of responses of endpoints that HTTP doesn't allow.
+func (f *Handler) InvalidResponses() int64 { return f.invalid.Load() }
+
+// noteInvalid counts the error of a response if HTTP doesn't allow the response.
+func (f *Handler) noteInvalid(err error) {
+	if header.IsInvalid(err) {
+		f.invalid.Add(1)
+	}
+}
+
 // BufferedBytes returns the size of the reserved body buffers.
 func (f *Handler) BufferedBytes() int64 { return f.buffers.Used() }
 
@@ -119,6 +130,9 @@
 	defer stop()
 	w, done := f.stopper.Add(w, stop)
 	defer done()
+	if f.capacity != nil {
+		w = &linkWriter{ResponseWriter: w, capacity: f.capacity}
+	}
 	w = &sender.Writer{ResponseWriter: w, Timeout: f.WriteTimeout}
 	c := &call{
 		handler: f, w: w, ctl: http.NewResponseController(w), start: start, id: q.Header.Get(f.Headers.RequestID),
@@ -134,6 +148,10 @@
 		return
 	}
 	c.revision = t.Configuration.Revision
+	if n := t.Configuration.Limits.HeaderBytes; n > 0 && headerBytes(q.Header) > n {
+		c.answerStatus(http.StatusRequestHeaderFieldsTooLarge, "headers-too-large", nil)
+		return
+	}
 	m, err := t.Resolve(q.Host, pathOf(q.RequestURI), bearer(q.Header))
 	if err != nil {
 		c.fail(classifier.Of(err), "not-allowed", err)
@@ -141,11 +159,23 @@
 	}
 	defer c.buffers.Release()
 	c.prepare(q, m)
+	c.ranks = t.Ranks(c.service)
 	if !c.endsInTime() {
 		c.refuse(stopping, otherGatewayRetryAfter)
 		return
 	}
-	if !c.readBody(q, t.Configuration.Limits.BodyBytes) {
+	limit := bodyLimit(t)
+	if q.ContentLength > limit {
+		// The rest of the connection is the body, which isn't read.
+		w.Header().Set("Connection", "close")
+		c.answerTooLarge(&http.MaxBytesError{Limit: limit})
+		return
+	}
+	if !c.acquireCapacity(q) {
+		return
+	}
+	defer c.returnCapacity()
+	if !c.readBody(q, limit) {
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
--- a/forwarder/headers.go
+++ b/forwarder/headers.go
@@ -17,7 +17,8 @@
 	Instance, Version string
 	// Account is the client account; only the gateway sets it.
 	Account string
-	// Urgency is the priority of the request; only the gateway sets it.
+	// Urgency is the urgency of an attempt; 0 is the most urgent. Only the gateway sets it, and
+	// only if requests to the service differ in priority.
 	Urgency string
 	// Signature is present in each successful response that an endpoint has generated.
 	Signature string
@@ -28,6 +29,9 @@
 	// Tokens holds the number of prompt tokens and the maximum number of response
 	// tokens, separated by a comma.
 	Tokens string
+	// LengthHint is the caller's estimate of the number of response tokens; empty for a platform
+	// without one.
+	LengthHint string
 	// ResumeFrom is the id of the last event that the caller has received.
 	ResumeFrom string
 	// PromptParts lists the parts of the prompt in order, as ID:TOKENS entries separated by
@@ -35,6 +39,21 @@
 	PromptParts string
 }
 
+// lineOverhead is the size of a header line without its name and value.
+const lineOverhead = len(": \r\n")
+
+// headerBytes returns the size of headers in the form in which they are usually sent. It doesn't
+// include the Host header.
+func headerBytes(h http.Header) int64 {
+	n := 0
+	for k, values := range h {
+		for _, v := range values {
+			n += len(k) + len(v) + lineOverhead
+		}
+	}
+	return int64(n)
+}
+
 // hopByHopHeaders apply to a single connection and are not forwarded.
 var hopByHopHeaders = [...]string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Te", "Trailer", "Upgrade",
--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -53,6 +53,8 @@
 	c.lease = l
 	a.retry, c.retry = c.retry, retrier.Decision{}
 	c.queueTime += l.Waited
+	c.reserved = c.reserved || l.Reserved
+	c.reservedHere = c.reservedHere || l.Reserved && !l.ReservedElsewhere
 	go a.serve()
 	return nil
 }
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -25,16 +26,17 @@
 	if q.Body == http.NoBody {
 		return true
 	}
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
 	if err := c.ctl.SetReadDeadline(c.deadline); err != nil {
 		c.fail(classifier.Internal, "internal", err)
 		return false
 	}
-	b, err := c.buffers.Read(http.MaxBytesReader(c.w, q.Body, limit), limit)
+	var body io.Reader = http.MaxBytesReader(c.w, q.Body, limit)
+	if p := c.handler.capacity; p != nil {
+		body = &linkReader{Reader: body, capacity: p}
+	}
+	b, err := c.buffers.Read(body, limit)
 	if errors.Is(err, receiver.ErrNoBufferSpace) {
-		c.refuse("no-room-for-body", otherGatewayRetryAfter)
+		c.refuse(noRoomForBody, otherGatewayRetryAfter)
 		return false
 	}
 	if err == nil {
@@ -54,13 +56,25 @@
 	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
-		c.answerStatus(http.StatusRequestEntityTooLarge, "body-too-large", err)
+		c.answerTooLarge(err)
 		return false
 	}
 	// The caller disconnected before the body was complete.
 	panic(http.ErrAbortHandler)
 }
 
+// bodyLimit returns the number of bytes that a body may have.
+func bodyLimit(t *resolver.Table) int64 {
+	if n := t.Configuration.Limits.BodyBytes; n > 0 {
+		return n
+	}
+	return defaultMaxBodyBytes
+}
+
+func (c *call) answerTooLarge(err error) {
+	c.answerStatus(http.StatusRequestEntityTooLarge, "body-too-large", err)
+}
+
 // prepare sets the fields that the attempts need from the request and its route.
 func (c *call) prepare(q *http.Request, m resolver.Match) {
 	n := &c.handler.Headers
@@ -73,6 +87,7 @@
 	c.lastEvent = q.Header.Get(n.ResumeFrom)
 	prompt, answer, _ := strings.Cut(q.Header.Get(n.Tokens), ",")
 	c.promptTokens, c.answerTokens = tokens(prompt), tokens(answer)
+	c.lengthHint = n.lengthHint(q.Header)
 	c.service = m.Route.Pick(rand.IntN(m.Route.Weight()))
 	left := m.Route.Timeout
 	if ms, err := strconv.ParseInt(q.Header.Get(n.Deadline), 10, 64); err == nil && ms > 0 {
@@ -103,7 +118,7 @@
 	if c.started {
 		since = c.lastEventAt
 	}
-	return since.Add(max(minPatience, patienceAims*r.Aim, patienceGaps*r.Gap))
+	return since.Add(r.Patience())
 }
 
 // serve makes attempts until the call is finished. It waits only while an attempt that isn't
@@ -162,6 +177,7 @@
 		return false
 	}
 	v := attemptResult{outcome: retrier.Unknown, err: errSilent}
+	c.readmitUnreached()
 	decision := c.retryDecision(v, true, c.handler.Dispatcher.Available(c.dispatcherRequest()) == nil)
 	c.logFailedAttempt(a, v, decision)
 	if !decision.Retry {
@@ -212,7 +228,9 @@
 	}
 	if !errors.Is(v.err, errLeaseExpired) && !errors.Is(v.err, errLeaseRevoked) && !errors.Is(v.err, errStopping) {
 		c.triedEndpoints = append(c.triedEndpoints, a.lease.Endpoint.ID)
+		c.noteDial(a, v)
 	}
+	c.readmitUnreached()
 	decision := retrier.Decision{Retry: true, Reason: "no-connection"}
 	var unavailable error
 	if a.sent || h.failedDials >= maxFailedDials || c.ctx.Err() != nil {
@@ -249,7 +267,7 @@
 func (c *call) dispatcherRequest() dispatcher.Request {
 	return dispatcher.Request{
 		Service: c.service, Match: c.match, Exclude: c.triedEndpoints, Deadline: c.deadline, FirstBy: c.firstBy(),
-		Prompt: c.promptTokens, Answer: c.answerTokens, Resumed: c.isStarted(),
+		Prompt: c.promptTokens, Answer: c.answerTokens, Hint: c.lengthHint, Resumed: c.isStarted(),
 	}
 }
 
--- a/guarder/do.go
+++ b/guarder/do.go
@@ -103,7 +103,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.ready() {
-		return nextStep{}, notRun(DefaultRetryAfter, "the guard is not ready")
+		if g.lostIntentsFor() > 0 {
+			g.pausedCalls++
+		}
+		return nextStep{}, notRun(max(DefaultRetryAfter, g.lostIntentsFor()), "the guard is not ready")
 	}
 	now := g.now()
 	if at, ok := c.keyTime(); ok && now.Sub(at) > g.Window {
--- a/guarder/doc.go
+++ b/guarder/doc.go
@@ -33,6 +33,10 @@
 // for keys whose time is ahead of the agents' clocks, a repeat after the window
 // is a new call.
 //
+// A log that returned from an older copy may lack acknowledged intents. Agents record
+// in a stream of their own since when the log has been in its epoch, and run no call
+// until that is a window (docs/design/restored-store.md).
+//
 // Intents of concurrent calls share one append (group commit), as producers of
 // Kafka batch messages (Kreps, Narkhede, Rao: "Kafka: a Distributed Messaging
 // System for Log Processing", NetDB 2011). The log takes a few hundred appends
--- a/guarder/follower.go
+++ b/guarder/follower.go
@@ -92,6 +92,9 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+DefaultTimeout)
 	defer cancel()
 	b, err := g.Log.Read(ctx, g.stream(), from, readLimit, wait)
+	if err == nil {
+		err = g.checkEpoch(b.Epoch)
+	}
 	var e *connector.Error
 	if errors.As(err, &e) && e.Kind == classifier.NotFound {
 		// If First is zero, the stream has no records yet.
@@ -101,12 +104,29 @@
 	return b, err
 }
 
+// checkEpoch returns an error if a batch is from before the return of the log.
+func (g *Guard) checkEpoch(epoch uint64) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if epoch != 0 && epoch < g.epoch {
+		return &Error{Op: "read intents", Kind: classifier.Unavailable, Err: errors.Newf("epoch %d, have %d", epoch, g.epoch)}
+	}
+	return nil
+}
+
 // applyBatch applies a batch that was read at offset from and returns the offset
 // of the next read.
 func (g *Guard) applyBatch(from uint64, b connector.Batch) (uint64, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	defer g.logReadiness()
+	if b.Epoch > g.epoch {
+		if g.epoch > 0 || g.table != nil && b.Epoch > firstEpoch {
+			g.rise(b.Epoch)
+			return 1, nil
+		}
+		g.beginEpoch(b.Epoch)
+	}
 	if b.Next < from || (len(b.Entries) == 0 && b.First > from) {
 		// The log was replaced, or it dropped records that were not read.
 		g.resetTable()
@@ -141,6 +161,24 @@
 	return from, nil
 }
 
+// rise begins a new epoch after records of an earlier or unknown one were read. The log may lack
+// intents that were acknowledged, and no call begins until their keys are forgotten.
+func (g *Guard) rise(epoch uint64) {
+	keys := 0
+	if g.table != nil {
+		keys = len(g.table.keys)
+	}
+	g.Logger.Error().Str("service", string(g.Service)).Uint64("epoch", epoch).Uint64("previous", g.epoch).Int("keys", keys).
+		Int("undecided", len(g.undecided)).Dur("window-ms", g.Window).Msg("log returned from an older copy, no call with a key begins until it has been in its epoch for a window")
+	g.beginEpoch(epoch)
+	left := g.lostIntentsFor()
+	for _, o := range g.undecided {
+		g.pausedCalls++
+		g.refuse(o, errors.New("the log returned from an older copy, which may lack the intent"), left)
+	}
+	g.resetTable()
+}
+
 // resetTable drops the table after a gap in the history and refuses the
 // undecided operations, as the records of their intents may be in the gap.
 func (g *Guard) resetTable() {
@@ -193,9 +231,13 @@
 	switch {
 	case g.ready():
 		why = "guard ready"
+	case g.table == nil:
+		return
+	case g.lostIntentsFor() > 0:
+		why = "guard not ready: the log isn't known to have been in its epoch for a window and may lack intents"
 	case g.truncated:
 		why = "guard not ready: the log dropped intents that are younger than the key window"
-	case g.table != nil && g.caughtUp:
+	case g.caughtUp:
 		why = "guard not ready: the log does not reach back over the key window"
 	default:
 		return
--- a/guarder/guard.go
+++ b/guarder/guard.go
@@ -109,6 +109,14 @@
 	queueNotEmpty chan struct{}
 	// newUndecided is signalled when a call begins to wait for its intent.
 	newUndecided chan struct{}
+	// epoch is that of the offsets that were read; 0 if it isn't known. clearAt is when the log no
+	// longer lacks intents of earlier epochs; the zero time if there was none.
+	epoch   uint64
+	clearAt time.Time
+	// epochBegun is signalled when an epoch above the first begins.
+	epochBegun chan struct{}
+	// pausedCalls counts the calls that were refused because the log may lack intents.
+	pausedCalls int64
 	// lastReadDecided is set if the last read decided an operation of this process.
 	lastReadDecided bool
 }
@@ -123,6 +131,7 @@
 	e, ctx := errgroup.WithContext(ctx)
 	e.Go(func() error { return g.follow(ctx) })
 	e.Go(func() error { return g.appendLoop(ctx) })
+	e.Go(func() error { return g.watchEpoch(ctx) })
 	return e.Wait()
 }
 
@@ -146,7 +155,7 @@
 	g.running = true
 	g.operations, g.undecided = map[recorder.OperationID]*operation{}, map[recorder.Digest]*operation{}
 	g.answerCache = answerCache{maxAnswerBytes: g.MaxAnswer, maxTotalBytes: g.MaxAnswers}
-	g.queueNotEmpty, g.newUndecided = make(chan struct{}, 1), make(chan struct{}, 1)
+	g.queueNotEmpty, g.newUndecided, g.epochBegun = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 	return nil
 }
 
@@ -179,7 +188,7 @@
 
 func (g *Guard) ready() bool {
 	switch {
-	case !g.running || !g.caughtUp || g.truncated:
+	case !g.running || !g.caughtUp || g.truncated || g.lostIntentsFor() > 0:
 		return false
 	case g.Retention > 0:
 		return g.Retention >= g.Window
--- a/guarder/status.go
+++ b/guarder/status.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 )
 
@@ -29,9 +30,6 @@
 	stateUnknown intentState = "unknown"
 )
 
-// maxStatus is the highest status with which an answer can be written.
-const maxStatus = 999
-
 // intentStatus is the response to GET /v1/intents/{key-digest}.
 type intentStatus struct {
 	// BootID is that of the process that responds. If it differs from the boot id
@@ -113,7 +111,7 @@
 	if err != nil {
 		return fail(classifier.Internal, err)
 	}
-	r, err := g.Client.Do(q)
+	r, err := header.Do(g.Client, q)
 	if err != nil {
 		return fail(classifier.OutcomeUnknown, err)
 	}
@@ -134,7 +132,7 @@
 	if (v.State == stateDone) != (v.Answer != nil) {
 		return fail(classifier.OutcomeUnknown, errors.Newf("state %q with answer %t", v.State, v.Answer != nil))
 	}
-	if v.Answer != nil && (v.Answer.Status < http.StatusOK || v.Answer.Status > maxStatus) {
+	if v.Answer != nil && !header.IsStatus(v.Answer.Status) {
 		return fail(classifier.OutcomeUnknown, errors.Newf("answer with status %d", v.Answer.Status))
 	}
 	return v, nil
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -81,6 +81,8 @@
 	leaving atomic.Bool
 	stopper stopper.Stopper
 	buffers receiver.Buffers
+	// connections is the budget of the connections that others make.
+	connections *listener.Budget
 }
 
 // Rates bound the transfer of chunks in bytes a second; 0 sets no bound.
@@ -139,8 +141,8 @@
 	g.Go(func() error { return listener.IgnoreStop(work, a.relay.Run(work)) })
 	g.Go(func() error { return listener.IgnoreStop(work, a.back.run(work)) })
 	servers := []*listener.Drainer{
-		{Server: outer.server, Listener: outer.listener},
-		{Server: local.server, Listener: local.listener},
+		{Server: outer.server, Listener: a.connections.Guard(outer.server, outer.listener, listener.Peers)},
+		{Server: local.server, Listener: a.connections.Guard(local.server, local.listener, listener.Operators)},
 	}
 	for _, s := range servers {
 		g.Go(s.Serve)
@@ -198,9 +200,17 @@
 
 func (a *Agent) prepare(ctx context.Context) (outer, local listening, err error) {
 	a.bootID = uuid.NewString()
+	if a.connections, err = listener.NewBudget(a.Descriptors, a.Memory, a.Log); err != nil {
+		return outer, local, err
+	}
+	if err := a.connections.Register(a.Metrics.Meter); err != nil {
+		return outer, local, err
+	}
+	a.buffers.Limit = receiver.LimitOf(a.Memory)
 	a.replica = &follower.Replica{Log: a.Log}
 	platform := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: header.MaxResponseBytes}}
 	a.submit = &follower.Follower{Log: connector.NewLog(a.LogURL, platform), Replica: a.replica}
+	a.submit.Log.Unconfirmed = follower.LogUnconfirmed(a.Log)
 	a.limit.Cold, a.limit.Max, a.limit.GrowEvery = a.Cold, a.Most, a.GrowEvery
 	a.limit.Changed = func(n int, reason string) {
 		a.Log.Info().Int("limit", n).Str("reason", reason).Msg("limit lowered")
@@ -253,7 +263,7 @@
 
 func listen(ctx context.Context, a netip.AddrPort) (listening, error) {
 	l, err := listener.Open(ctx, a)
-	return listening{&http.Server{ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10}, l}, err
+	return listening{&http.Server{ReadHeaderTimeout: 10 * time.Second}, l}, err
 }
 
 func (a *Agent) routes(outer, local *http.Server) {
--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -113,7 +113,7 @@
 	}
 	q.Header.Set("Content-Type", "application/json")
 	q.Header.Set(header.CallerID, uuid.NewString())
-	r, err := e.agent.client.Do(q)
+	r, err := header.Do(e.agent.client, q)
 	if err != nil {
 		return err
 	}
@@ -257,7 +257,7 @@
 			q.Header.Set(k, s)
 		}
 	}
-	return send(e.agent.client, q)
+	return header.Do(e.agent.client, q)
 }
 
 func (e *engine) copyStream(ctx context.Context, v *visit, r *http.Response) result {
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -16,6 +16,7 @@
 	relayv1 "github.com/eelgrassdrift/eelgrassdrift/api/relay/v1"
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/follower"
 	"github.com/eelgrassdrift/eelgrassdrift/guarder"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/problem"
@@ -145,14 +146,19 @@
 			return ctx.Err()
 		}
 	}
+	l := connector.NewLog(a.LogURL, &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: header.MaxResponseBytes,
+	}})
+	l.Unconfirmed = follower.LogUnconfirmed(a.Log)
 	g := &guarder.Guard{
-		Log: connector.NewLog(a.LogURL, &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: header.MaxResponseBytes,
-		}}),
+		Log:     l,
 		Service: a.service(), Instance: a.Instance, Address: a.address, BootID: a.bootID,
 		Window: s.declared().KeyWindow.Std(), Retention: a.LogRetention,
 		Client: a.peers, Scheme: a.scheme(), Logger: a.Log,
 	}
+	if err := registerPause(a.Metrics.Meter, g.Pause); err != nil {
+		return err
+	}
 	s.guard.Store(g)
 	return g.Run(ctx)
 }
@@ -244,7 +250,7 @@
 	if n := v.q.Header.Get(header.IdempotencyKey); n != "" {
 		header.SetIdempotencyKey(q.Header, n)
 	}
-	r, err := send(s.client, q)
+	r, err := header.Do(s.client, q)
 	if err != nil {
 		s.agent.Log.Warn().Str("request-id", v.id).Err(err).Msg("service not reached")
 		if connector.IsDialError(err) {
--- a/internal/agent/whole.go
+++ b/internal/agent/whole.go
@@ -14,17 +14,6 @@
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 )
 
-// send sends a request to the target. A target that changes the protocol, which nobody asked
-// for, or sends a status below 100, with which no answer can be written, has not answered.
-func send(c *http.Client, q *http.Request) (*http.Response, error) {
-	r, err := c.Do(q)
-	if err == nil && r.StatusCode < http.StatusOK {
-		_ = r.Body.Close()
-		return nil, errors.Newf("the target sent status %d in place of an answer", r.StatusCode)
-	}
-	return r, err
-}
-
 // readWhole returns the body of an answer of at most maxAnswer bytes, which stays reserved
 // until the visit ends. A body that ends where the connection is closed counts as whole unless
 // it is a document that isn't: a target that stops within its head or its body closes the
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -8,6 +8,9 @@
 
 	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
+
+	"github.com/eelgrassdrift/eelgrassdrift/checker"
+	"github.com/eelgrassdrift/eelgrassdrift/observer"
 )
 
 // App runs eelgrassctl. All fields are set before Run.
@@ -22,6 +25,10 @@
 	NewID func() uuid.UUID
 	// Rand is the source of new keys.
 	Rand io.Reader
+	// ReadConfiguration reads a configuration record of the platform, and DecodeOperator decodes a
+	// record of an operator.
+	ReadConfiguration func(record []byte) *checker.Document
+	DecodeOperator    func(key string, value []byte) (*observer.Decision, error)
 	// Sleep waits for d or until the context ends, whose error it returns.
 	Sleep func(ctx context.Context, d time.Duration) error
 }
@@ -50,7 +57,8 @@
 
 Exit codes: 0 done, 1 internal, 2 wrong input or settings, 3 no valid key,
 4 not found, 5 conflict with another change, 6 refused by a rule, 7 limit used
-up, 8 unavailable and nothing done, 9 timeout, 10 outcome unknown.`
+up, 8 unavailable and nothing done, 9 timeout, 10 outcome unknown. The command
+"configuration check" has its own: 0 no findings, 1 findings, 2 input not read.`
 
 func (a *App) command() *cli.Command {
 	return &cli.Command{
@@ -62,7 +70,7 @@
 		Commands: []*cli.Command{
 			a.publishCommand(), a.applyCommand(), a.diffCommand(), a.checkCommand(), a.getCommand(), a.removeCommand(),
 			a.rolloutCommand(), a.domainCommand(), a.endpointCommand(), a.operationCommand(), a.handoverCommand(),
-			a.watchCommand(), a.keyCommand(), a.explainCommand(), a.holdsCommand(),
+			a.watchCommand(), a.keyCommand(), a.explainCommand(), a.holdsCommand(), a.configurationCommand(),
 		},
 	}
 }
--- a/internal/ctl/doc.go
+++ b/internal/ctl/doc.go
@@ -8,5 +8,6 @@
 //
 // The exit code tells what happened: 0 means done, and the codes of package
 // classifier tell a refusal, a conflict, an unavailable system and an outcome
-// that is not known apart.
+// that is not known apart. The command that checks a configuration has codes of
+// its own.
 package ctl
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -74,4 +74,7 @@
 	}
 	// A failed write shows at the flush of the table.
 	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", mark, l.Time.Format("15:04:05.000"), l.Instance, l.Event, strings.Join(fields, " "))
+	if l.Note != "" {
+		_, _ = fmt.Fprintf(w, "\t\t\t\t(%s)\n", l.Note)
+	}
 }
--- a/internal/direct/agent.go
+++ b/internal/direct/agent.go
@@ -13,11 +13,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/distributor"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/listener"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/meter"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
+	"github.com/eelgrassdrift/eelgrassdrift/lender"
 	"github.com/eelgrassdrift/eelgrassdrift/loader"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 )
@@ -102,11 +104,19 @@
 	// Link and RegionLink are the bits per second of the instance's link and of the
 	// link between two regions; 0 means no limit.
 	Link, RegionLink float64
+	// Lending says where the agent lends the request rate of its engine to gateways while the engine
+	// is cold, by the bound of Cold.
+	Lending Lending
+	Cold    dispatcher.ColdLimit
 	// MaxVersionDelay is the time in which all instances have to serve a new target version.
 	MaxVersionDelay time.Duration
-	Platform        *Platform
-	Meter           *meter.Exporter
-	Log             zerolog.Logger
+	// Descriptors is the maximum number of open file descriptors, Memory the memory of the
+	// instance in bytes; 0 means the limit of the process and that it isn't known.
+	Descriptors int
+	Memory      int64
+	Platform    *Platform
+	Meter       *meter.Exporter
+	Log         zerolog.Logger
 
 	follower *follower
 	origin   *http.Client
@@ -115,6 +125,8 @@
 	loader   *loader.Loader
 	reports  *reportSender
 	monitor  timekeeper.Monitor
+	// connections is the budget of the connections that others make.
+	connections *listener.Budget
 }
 
 // Run serves chunks, reports the state of the engine and loads versions until ctx is
@@ -123,13 +135,24 @@
 	if err := a.build(); err != nil {
 		return err
 	}
+	if err := a.connections.Register(a.Meter.Meter); err != nil {
+		return err
+	}
 	e, ctx := errgroup.WithContext(ctx)
 	if _, err := a.servePeers(ctx, e); err != nil {
 		return err
 	}
 	if a.Metrics.IsValid() {
+		if err := observeLoader(a.Meter, a.loader.Stats); err != nil {
+			return err
+		}
+		if a.reports.Lender != nil {
+			if err := observeLender(a.Meter, a.reports.Lender.Stats); err != nil {
+				return err
+			}
+		}
 		s := newServer(a.Meter.Handler)
-		if _, err := serve(ctx, e, a.Metrics, s); err != nil {
+		if _, err := serve(ctx, e, a.Metrics, s, a.connections, listener.Operators); err != nil {
 			return err
 		}
 		context.AfterFunc(ctx, func() { _ = s.Close() })
@@ -138,6 +161,7 @@
 	e.Go(func() error { return a.follower.run(ctx, true) })
 	e.Go(func() error { return a.beat(ctx) })
 	e.Go(func() error { return a.loader.Reporter.Run(ctx) })
+	e.Go(func() error { return a.reports.receiveDemands(ctx) })
 	e.Go(func() error { return a.loader.Run(ctx) })
 	err := e.Wait()
 	a.Log.Info().AnErr("failure", err).Msg("stop")
@@ -147,7 +171,7 @@
 // servePeers serves the other agents until ctx is done, and sends them the chunks in flight.
 func (a *Agent) servePeers(ctx context.Context, e *errgroup.Group) (*listener.Drainer, error) {
 	h := a.chunkHandler()
-	d, err := serve(ctx, e, a.Peers, newServer(a.handler(h)))
+	d, err := serve(ctx, e, a.Peers, newServer(a.handler(h)), a.connections, listener.Peers)
 	if err != nil {
 		return nil, err
 	}
@@ -176,6 +200,10 @@
 }
 
 func (a *Agent) build() error {
+	var err error
+	if a.connections, err = listener.NewBudget(a.Descriptors, a.Memory, a.Log); err != nil {
+		return err
+	}
 	a.follower = newFollower(a.Platform, a.Store, a.Peers, a.Domain, a.Regions, a.Log)
 	a.follower.seeds = a.Seeds
 	a.monitor.Limit = maxAgentBeatInterval
@@ -184,18 +212,25 @@
 	a.origin = newOriginClient()
 	a.chunks = &distributor.Store{}
 	a.link = &distributor.Link{Bound: maxChunkDelay}
-	s, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(a.Peers.Addr(), 0)))
+	// Gateways send demands and statements to the source address of reports, and instances may be
+	// reachable only at the ports of the platform's range.
+	s, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a.Peers))
 	if err != nil {
 		return errors.Wrap(err, "open UDP socket for reports")
 	}
-	a.reports = &reportSender{Engine: a.Engine, Domain: a.Domain, State: a.follower.state, Socket: s, Log: a.Log}
+	a.reports = &reportSender{Engine: a.Engine, Domain: a.Domain, State: a.follower.state, Socket: s, Log: a.Log, Lending: a.Lending, Cold: a.Cold, Service: a.Service}
+	if a.Lending.isPossible() {
+		a.reports.Lender = &lender.Lender{Began: time.Now(), Changed: func(c lender.Change) { logLending(a.Log, c) }}
+	}
 	replica := a.Platform.Replica(a.Engine, a.follower.client)
 	a.loader = &loader.Loader{
-		Service: a.Service, Domain: a.Domain, Address: a.Engine, Link: a.Link / bitsPerByte, MaxVersionDelay: a.MaxVersionDelay, State: a.follower.state, Replica: replica,
+		Service: a.Service, Domain: a.Domain, Address: a.Engine, Link: a.Link / bitsPerByte, MaxVersionDelay: a.MaxVersionDelay,
+		Grace: grace(a.MaxVersionDelay), State: a.follower.state, Replica: replica,
 		Reporter:   &loader.Reporter{Replica: replica, Address: a.Engine, Send: a.reports.send, LinkDelay: a.link.Delay, Log: a.Log},
 		Digests:    a.digests,
 		Learned:    a.keepDigests,
 		Pieces:     func(o netip.AddrPort) *connector.Pieces { return a.Platform.Pieces(o, a.origin) },
+		Manifests:  func(o netip.AddrPort) *connector.Pieces { return a.Platform.Pieces(o, newOriginClient()) },
 		NewFetcher: a.newFetcher,
 		Store:      a.chunks, Log: a.Log,
 	}
--- a/internal/direct/command.go
+++ b/internal/direct/command.go
@@ -21,6 +21,9 @@
 	"github.com/eelgrassdrift/eelgrassdrift/isolator"
 )
 
+// mega is the number of bytes of a megabyte, and of bits of a megabit.
+const mega = 1e6
+
 // The GOGC percentages, used where the environment sets none. They are below the
 // default of 100 because instances have little memory and the live heap is small.
 const (
@@ -35,15 +38,16 @@
 		settings.String("ready", "", "IP address and port of the readiness check for the load balancer"),
 		settings.Float("cold-factor", 1, "factor on the request rate of a cold endpoint"),
 		settings.Float("cold-slack", 0, "requests per second added to the request rate of a cold endpoint"),
-		settings.Float("retry-ratio", 0.1, "retries per request, over all gateways"),
-		settings.Float("retry-extra", 24, "retries in a window beyond the ratio, over all gateways"),
+		settings.Float("retry-ratio", DefaultRetryRatio, "retries per request, over all gateways"),
+		settings.Float("retry-extra", DefaultRetryExtra, "retries in a window beyond the ratio, over all gateways"),
 		settings.Int64("hold-endings", isolator.DefaultMaxEndings, "endpoints that end under a request, or under requests with one part of their prompts, before it is held"),
 		settings.Period("hold-time", isolator.DefaultHold, "time of a hold until a first trial"),
+		settings.Float("lowest-share", 0.1, "part of the slots of a service that less urgent requests always get, where requests differ in rank"),
 		settings.Strings("unheld-routes", "routes whose requests are never held"),
 		settings.Period("balancer-wait", 2600*time.Millisecond, "time from reporting not ready to the last new connection in a planned stop"),
 		settings.Int64("drain-ms", 2000, "milliseconds after which a draining endpoint must get no more requests"),
 		settings.Int64("stop-seconds", 8, "longest time of a planned stop in seconds"),
-		settings.Int64("descriptors", 0, "maximum number of open file descriptors; 0 for the limit of the process"),
+		settings.String("link-mbps", "", "megabits per second of the instance's link in each direction; 0 or empty if it isn't known"),
 	)
 	return command("send requests straight to endpoints, on a platform without agents in front of them", f, gatewayGCPercent, func(c *cli.Command) (process, common, error) {
 		var s settings.Faults
@@ -56,6 +60,7 @@
 				Factor: s.Float("cold-factor", c.Float("cold-factor"), 0, 1000),
 				Slack:  s.Float("cold-slack", c.Float("cold-slack"), 0, 1e6),
 			},
+			LowestShare:  s.Float("lowest-share", c.Float("lowest-share"), 0, 1),
 			RetryRatio:   s.Float("retry-ratio", c.Float("retry-ratio"), 0, 1),
 			RetryExtra:   s.Float("retry-extra", c.Float("retry-extra"), 0, 1e6),
 			Drain:        time.Duration(s.Int("drain-ms", c.Int64("drain-ms"), 100, 1<<31)) * time.Millisecond,
@@ -64,7 +69,9 @@
 			UnheldRoutes: c.StringSlice("unheld-routes"),
 			BalancerWait: s.Duration("balancer-wait", c.Duration("balancer-wait"), 0, time.Minute),
 			StopTimeout:  time.Duration(s.Int("stop-seconds", c.Int64("stop-seconds"), 1, 3600)) * time.Second,
-			Descriptors:  int(s.Int("descriptors", c.Int64("descriptors"), 0, 1<<30)),
+			Descriptors:  n.descriptors,
+			Memory:       n.memory,
+			Link:         s.OptionalFloat("link-mbps", c.String("link-mbps"), 0, 1e6) * mega / 8,
 		}
 		if err := s.Err(); err != nil {
 			return nil, n, err
@@ -81,18 +88,27 @@
 		settings.String("engine", "", "IP address and port of the engine of this instance"),
 		settings.String("service", "", "service of the engine"),
 		settings.Float("link-mbps", 0, "megabits per second of the instance's link; 0 for no limit"),
+		settings.String("lend-cold-rate", "", "lend the request rate of the engine to gateways by their demand while it is cold: true, ranked (where requests to the service differ in rank), or false or empty"),
+		settings.Float("cold-factor", 1, "factor on the request rate of a cold endpoint, as at the gateways"),
+		settings.Float("cold-slack", 0, "requests per second added to the request rate of a cold endpoint, as at the gateways"),
 		settings.Float("region-mbps", 0, "megabits per second between two regions; 0 for no limit"),
 	)
 	return command("load the target version into the engine of this instance", f, agentGCPercent, func(c *cli.Command) (process, common, error) {
 		var s settings.Faults
 		n := readCommon(&s, c)
-		const mega = 1e6
 		a := &Agent{
 			Name: n.name, Domain: n.domain, Region: n.regions[n.domain], Service: c.String("service"), Peers: n.peers,
 			Metrics: n.metrics, Store: n.store, Seeds: n.seeds, Regions: n.regions, MaxVersionDelay: n.within, Log: n.log, Platform: p,
+			Descriptors: n.descriptors, Memory: n.memory,
 			Engine:     s.AddrPort("engine", c.String("engine")),
 			Link:       s.Float("link-mbps", c.Float("link-mbps"), 0, 1e6) * mega,
 			RegionLink: s.Float("region-mbps", c.Float("region-mbps"), 0, 1e6) * mega,
+			// A platform that lacks the value fills an empty one into the environment variable.
+			Lending: Lending(s.OneOf("lend-cold-rate", c.String("lend-cold-rate"), "", string(NeverLend), string(AlwaysLend), string(LendRanked))),
+			Cold: dispatcher.ColdLimit{
+				Factor: s.Float("cold-factor", c.Float("cold-factor"), 0, 1000),
+				Slack:  s.Float("cold-slack", c.Float("cold-slack"), 0, 1e6),
+			},
 		}
 		if a.Service == "" {
 			s.Add("service", "", "the name of a service")
@@ -155,7 +171,7 @@
 }
 
 func commonFlags() []cli.Flag {
-	return []cli.Flag{
+	return append([]cli.Flag{
 		settings.String("name", "", "name of this instance"),
 		settings.String("failure-domain", "", "failure domain of this instance"),
 		settings.Strings("regions", "region of each failure domain, as DOMAIN=REGION"),
@@ -165,7 +181,7 @@
 		settings.String("store", "", "IP address and port of the platform's store"),
 		settings.Int64("version-ms", 8000, "milliseconds in which all instances have to serve a new target version"),
 		settings.LogLevel(),
-	}
+	}, settings.LimitFlags()...)
 }
 
 // common holds the settings that the gateway and the agent share.
@@ -175,6 +191,8 @@
 	peers, metrics, store netip.AddrPort
 	seeds                 []netip.AddrPort
 	within                time.Duration
+	descriptors           int
+	memory                int64
 	log                   zerolog.Logger
 	closer                io.Closer
 }
@@ -187,6 +205,7 @@
 		seeds:  s.AddrPorts("seeds", c.StringSlice("seeds")),
 		within: time.Duration(s.Int("version-ms", c.Int64("version-ms"), 1, 1<<31)) * time.Millisecond,
 	}
+	n.descriptors, n.memory = s.ReadLimits(c)
 	if n.name == "" {
 		s.Add("name", "", "the name of this instance")
 	}
--- a/internal/direct/digests.go
+++ b/internal/direct/digests.go
@@ -15,6 +15,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/distributor"
+	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/loader"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 )
@@ -163,7 +164,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "ask for digests")
 	}
-	r, err := onNewConnection(a.follower.client).Do(q)
+	r, err := header.Do(onNewConnection(a.follower.client), q)
 	if err != nil {
 		return nil, errors.Wrap(err, "ask for digests")
 	}
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -33,8 +33,9 @@
 const (
 	// decisionWait is the long-poll time of a read of the operator table. A dead
 	// connection is detected after this time plus the margin of the observer, which is
-	// within the three seconds for which the platform counts a reset as a disruption.
-	decisionWait = 2 * time.Second
+	// within the three seconds for which the platform counts a reset as a disruption. With
+	// 2 s the margin of 0.3 s was used up on a busy machine.
+	decisionWait = 1700 * time.Millisecond
 	// decisionInterval is the pause between two reads of the operator table.
 	decisionInterval = 20 * time.Millisecond
 	// gatewayWait is the long-poll time of a read of the gateway table. It changes
@@ -79,7 +80,12 @@
 	operators, endpoints, gateways observer.Table
 	// listApplied is the time of Confirmed of the endpoint table as last applied.
 	listApplied atomic.Pointer[time.Time]
-	outline     *observer.View
+	// gatewaysFailed is when a read of the gateway table from the platform last failed.
+	gatewaysFailed atomic.Pointer[time.Time]
+	// gatewaysRead tells that a first read of the gateway table succeeded or failed.
+	gatewaysRead event
+	outline      *observer.View
+	returns      storeReturns
 }
 
 func newFollower(p *Platform, store, self netip.AddrPort, domain string, regions map[string]string, log zerolog.Logger) *follower {
@@ -92,6 +98,7 @@
 	}
 	f.endpoints.Stamp = f.entryStamp
 	f.endpoints.Outdated = f.logOutdated
+	f.setEpochRules()
 	f.outline = &observer.View{Table: &f.operators, Shorten: p.Outline}
 	return f
 }
@@ -185,10 +192,10 @@
 // for a gateway, the gateways first for an agent. An agent that starts reads the gateway
 // table from the platform, so that it knows the gateways near it.
 func (f *follower) sources(name string, t *connector.Table, agent bool) []observer.Source {
-	peers := &observer.PeerReader{Table: name, Client: f.client, Peers: f.peers, Now: time.Now}
+	peers := &observer.PeerReader{Table: name, Client: f.client, Peers: f.peers, Now: time.Now, Epoch: f.all()[name].Epoch}
 	platform := observer.Source{Name: "platform", Read: t.Read}
 	if !agent {
-		return []observer.Source{platform, {Name: "peers", Read: peers.Read, Peers: true}}
+		return []observer.Source{platform, {Name: "peers", Read: peers.Read, ReadAny: peers.ReadAny, Peers: true}}
 	}
 	start := &observer.StartReader{Peers: peers.Read, Platform: t.Read, PlatformDelay: startPlatformDelay}
 	switch name {
@@ -197,7 +204,12 @@
 	case gatewayTable:
 		start.PlatformDelay = 0
 	}
-	return []observer.Source{{Name: "peers", Read: start.Read, Peers: true}, platform}
+	first := observer.Source{Name: "peers", Read: f.returns.interruptible(start.Read), Peers: true}
+	if name != gatewayTable {
+		start.LargeDelay = f.largeStartDelay
+		first.LimitsSilence = true
+	}
+	return []observer.Source{first, platform}
 }
 
 // run follows all tables until ctx is done.
@@ -206,28 +218,38 @@
 		Name: endpointTable, Table: &f.endpoints, Sources: f.sources(endpointTable, f.tables.Endpoints, agent),
 		Pace: agentListInterval, Wake: f.outdated, Log: f.log, Reconnect: f.reconnect(f.tables.Endpoints), Failed: f.state.ListFailed,
 		Earliest: f.earliest,
-		Changed:  f.applyList,
+		Changed:  f.applyList, FirstTimeout: f.firstTimeout,
 	}
 	operators := &observer.Follower{
 		Name: operatorTable, Table: &f.operators, Sources: f.sources(operatorTable, f.tables.Operators, agent),
 		Wait: decisionWait, Pace: decisionInterval, Log: f.log, Reconnect: f.reconnect(f.tables.Operators),
-		Earliest: f.earliest,
+		Earliest: f.earliest, AskPeers: !agent, AskLost: !agent, FirstTimeout: f.firstTimeout,
 		Changed: func(u observer.Update) {
+			f.returns.note(u.Rise)
 			f.state.ApplyUpdate(u)
 			f.notify(len(u.Fresh) > 0)
 		},
 	}
 	gateways := &observer.Follower{
 		Name: gatewayTable, Table: &f.gateways, Sources: f.sources(gatewayTable, f.tables.Gateways, agent),
-		Wait: gatewayWait, Pace: gatewayInterval, Log: f.log,
+		Wait: gatewayWait, Pace: gatewayInterval, Log: f.log, AskLost: !agent,
+		Failed: func() {
+			now := timekeeper.Now()
+			f.gatewaysFailed.Store(&now)
+			f.gatewaysRead.signal()
+		},
 		Changed: func(u observer.Update) {
+			f.returns.note(u.Rise)
 			f.state.ApplyGateways(u.Fresh)
 			f.checkRecord()
+			f.gatewaysRead.signal()
 		},
 	}
 	if !agent {
 		interval := time.Duration(float64(f.drain) * listIntervalShare)
-		f.share(list, &observer.SharedReader{Interval: interval, MaxAge: time.Duration(float64(interval) * maxListAgeFactor)})
+		shared := &observer.SharedReader{Interval: interval, MaxAge: time.Duration(float64(interval) * maxListAgeFactor)}
+		f.shareFirst(list, shared)
+		f.share(list, shared)
 		f.share(operators, &observer.SharedReader{
 			Wait: decisionWait, SharedWait: sharedDecisionWait, Interval: decisionInterval, MaxAge: maxDecisionAge,
 		})
@@ -236,8 +258,16 @@
 		})
 	}
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return list.Run(ctx) })
-	g.Go(func() error { return operators.Run(ctx) })
+	g.Go(func() error {
+		f.gatewaysRead.wait(ctx, maxGatewaysWait)
+		return list.Run(ctx)
+	})
+	g.Go(func() error {
+		if agent {
+			f.gatewaysRead.wait(ctx, maxGatewaysWait)
+		}
+		return operators.Run(ctx)
+	})
 	g.Go(func() error { return gateways.Run(ctx) })
 	return g.Wait()
 }
@@ -252,6 +282,7 @@
 
 // applyList applies the changes of the endpoint list.
 func (f *follower) applyList(u observer.Update) {
+	f.returns.note(u.Rise)
 	at := f.endpoints.Confirmed()
 	f.state.ApplyEndpoints(u.Fresh, u.First)
 	f.notify(len(u.Fresh) > 0)
@@ -267,9 +298,18 @@
 	return time.Time{}
 }
 
+// gatewaysFailedAt returns when a read of the gateway table from the platform last failed; the zero
+// time if none has.
+func (f *follower) gatewaysFailedAt() time.Time {
+	if at := f.gatewaysFailed.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // checkRecord signals that the gateway table lacks the record of this gateway.
 func (f *follower) checkRecord() {
-	if f.name == "" || f.hasRecord() {
+	if f.name == "" || !f.lacksRecord() {
 		return
 	}
 	select {
@@ -278,8 +318,10 @@
 	}
 }
 
-// hasRecord reports whether the gateway table has the record of this gateway.
-func (f *follower) hasRecord() bool { return slices.Contains(f.state.GatewayNames(), f.name) }
+// lacksRecord reports whether the store lacks the record of this gateway.
+func (f *follower) lacksRecord() bool {
+	return f.gateways.IsLost(f.name) || !slices.Contains(f.state.GatewayNames(), f.name)
+}
 
 // listOutdated makes the follower read the endpoint list soon.
 func (f *follower) listOutdated() {
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -37,6 +38,18 @@
 	announceRetryInterval = time.Second
 	// announceTimeout limits one attempt to write the gateway record.
 	announceTimeout = 800 * time.Millisecond
+	// announceSpread is the time over which gateways spread the writes of their records after
+	// the store lost them: 640 gateways write 640 records a second, and the store takes 1,200.
+	announceSpread = time.Second
+	// rewriteInterval is the least time between two writes of a lost record. It allows for the
+	// pause between two reads of the gateway table, in which the first one isn't read back.
+	rewriteInterval = 2500 * time.Millisecond
+)
+
+// The default values of Gateway.RetryRatio and Gateway.RetryExtra.
+const (
+	DefaultRetryRatio = 0.1
+	DefaultRetryExtra = 24
 )
 
 const (
@@ -74,6 +87,9 @@
 	// Regions holds the region of each failure domain.
 	Regions map[string]string
 	Cold    dispatcher.ColdLimit
+	// LowestShare is the part of the slots of a service that less urgent requests always get, where
+	// its requests differ in rank.
+	LowestShare float64
 	// RetryRatio is the number of retries per request, and RetryExtra the number of
 	// retries in a window beyond it, both over all gateways.
 	RetryRatio, RetryExtra float64
@@ -93,9 +109,13 @@
 	// Descriptors is the maximum number of open file descriptors; 0 means the limit
 	// of the process.
 	Descriptors int
-	Platform    *Platform
-	Meter       *meter.Exporter
-	Log         zerolog.Logger
+	// Memory is the memory of the instance in bytes, and Link the bytes per second of its link; 0
+	// means that it isn't known.
+	Memory   int64
+	Link     float64
+	Platform *Platform
+	Meter    *meter.Exporter
+	Log      zerolog.Logger
 
 	follower   *follower
 	dispatcher *dispatcher.Dispatcher
@@ -104,8 +124,11 @@
 	monitor    timekeeper.Monitor
 	listWait   listWait
 	callers    listener.Trimmer
-	stopping   atomic.Bool
-	holds      *holdKeeper
+	// connections is the budget of the connections that others make.
+	connections *listener.Budget
+	stopping    atomic.Bool
+	holds       *holdKeeper
+	refusals    refusalWatch
 	// endingNews has a value while the isolator has news for other gateways.
 	endingNews chan struct{}
 }
@@ -124,6 +147,10 @@
 		m.observeNotice(e, v)
 		logNotice(g.Log, e, v, from)
 	}
+	g.dispatcher.Withheld = func(service string, slots float64, began bool) { logWithheld(g.Log, service, slots, began) }
+	g.dispatcher.PaceChanged = func(c dispatcher.PaceChange) { logPace(g.Log, c) }
+	g.dispatcher.LengthsKnown = func(k dispatcher.LengthsKnown) { logLengths(g.Log, k) }
+	g.dispatcher.UnevenChanged = func(c dispatcher.UnevenChange) { logUneven(g.Log, c) }
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	e, work := errgroup.WithContext(work)
@@ -132,7 +159,9 @@
 	e.Go(func() error { return g.tick(work) })
 	e.Go(func() error { return g.receiveReports(work) })
 	e.Go(func() error { return g.sendEndings(work) })
+	e.Go(func() error { return g.sendDemands(work) })
 	e.Go(func() error { return g.holds.run(work) })
+	e.Go(func() error { return g.restorer().run(work) })
 	e.Go(func() error { return g.announce(work) })
 	servers, err := g.serve(ctx, e)
 	if err != nil {
@@ -162,6 +191,9 @@
 		return err
 	}
 	g.callers.Most = most
+	if g.connections, err = listener.NewBudget(g.Descriptors, g.Memory, g.Log); err != nil {
+		return err
+	}
 	g.follower = newFollower(g.Platform, g.Store, g.Peers, g.Domain, g.Regions, g.Log)
 	g.follower.name = g.Name
 	g.follower.drain, g.follower.seeds = g.Drain, g.Seeds
@@ -170,7 +202,7 @@
 	g.follower.earliest = g.monitor.Earliest
 	g.dispatcher = &dispatcher.Dispatcher{
 		Name: g.Name, Domain: g.Domain, Region: g.Region, Cold: g.Cold, State: g.follower.state,
-		Grace: grace(g.MaxVersionDelay), MaxVersionDelay: g.MaxVersionDelay,
+		LowestShare: g.LowestShare, Grace: grace(g.MaxVersionDelay), MaxVersionDelay: g.MaxVersionDelay,
 		IsCurrent: g.isCurrent, Outdated: g.follower.listOutdated,
 	}
 	g.front = &forwarder.Handler{
@@ -178,6 +210,7 @@
 		Table: func() *resolver.Table { return g.follower.state.Table() }, Log: g.Log,
 		Budget: forwarder.Budget{Share: g.RetryRatio * retryShare, Burst: g.retryBurst},
 	}
+	g.limit()
 	g.isolate()
 	return nil
 }
@@ -192,18 +225,41 @@
 			return f.tables.Gateways.Put(ctx, key, value)
 		},
 		PutAt: func(ctx context.Context, key string, value []byte) error {
-			return f.tables.Gateways.PutAt(ctx, key, value, f.gateways.Next())
+			return f.claimAt(ctx, key, value)
 		},
-		Rank: func() int { return slices.Index(g.follower.state.GatewayNames(), g.Name) },
+		Rank: g.rank, Count: f.state.GatewayCount,
 	}
 	g.follower.state.ApplyHold = g.holds.apply
 	g.front.UnheldRoutes = g.UnheldRoutes
 	g.front.Isolator, g.front.ClaimTrial, g.front.ReturnTrial = i, g.holds.claim, g.holds.returnTrial
 }
 
+// rank returns the place of this gateway among those that write records of all.
+func (g *Gateway) rank() int { return slices.Index(g.follower.state.GatewayNames(), g.Name) }
+
+// restorer returns the restorer of the gateway table.
+func (g *Gateway) restorer() *restorer {
+	f := g.follower
+	return &restorer{
+		Table: &f.gateways, Compared: f.gateways.Compared, Failed: f.gatewaysFailedAt,
+		Rank:    func() (int, int) { return g.rank(), f.state.GatewayCount() },
+		Returns: &f.returns, Log: g.Log,
+		Put: func(ctx context.Context, key string, value []byte) error {
+			return f.tables.Gateways.Put(ctx, key, value)
+		},
+	}
+}
+
 // retryBurst returns this gateway's part of RetryExtra.
 func (g *Gateway) retryBurst() float64 {
-	return g.RetryExtra / max(minRetryGateways, retryGatewayFactor*float64(g.follower.state.GatewayCount()))
+	_, burst := RetryLimit(g.RetryRatio, g.RetryExtra, g.follower.state.GatewayCount())
+	return burst
+}
+
+// RetryLimit returns the retry budget of one of the gateways, given RetryRatio and RetryExtra: the
+// number of retries that each request adds, and the largest number of saved ones.
+func RetryLimit(ratio, extra float64, gateways int) (share, burst float64) {
+	return ratio * retryShare, extra / max(minRetryGateways, retryGatewayFactor*float64(gateways))
 }
 
 // serve starts the HTTP servers. The first one returned is that for callers.
@@ -217,7 +273,8 @@
 	all := []struct {
 		address netip.AddrPort
 		handler http.Handler
-	}{{g.Front, g.front}, {g.Ready, ready}, {g.Peers, peers}, {g.Metrics, g.Meter.Handler}}
+		class   listener.Class
+	}{{g.Front, g.front, listener.Callers}, {g.Ready, ready, listener.Operators}, {g.Peers, peers, listener.Peers}, {g.Metrics, g.Meter.Handler, listener.Operators}}
 	var servers []*listener.Drainer
 	for _, s := range all {
 		if !s.address.IsValid() {
@@ -227,7 +284,7 @@
 		if s.address == g.Front {
 			h.ConnContext, h.ConnState = forwarder.WithCaller, g.callers.ConnState
 		}
-		d, err := serve(ctx, e, s.address, h)
+		d, err := serve(ctx, e, s.address, h, g.connections, s.class)
 		if err != nil {
 			return nil, err
 		}
@@ -277,6 +334,7 @@
 		if time.Since(swept) > sweepInterval {
 			swept = time.Now()
 			g.front.Transport.Sweep()
+			g.refusals.look()
 		}
 	}
 }
@@ -289,7 +347,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
-	r := reportReceiver{Read: c.Read, Report: g.dispatcher.Report, Isolator: g.front.Isolator, Log: g.Log}
+	r := reportReceiver{Read: c.ReadFromUDPAddrPort, Report: g.dispatcher.Report, Isolator: g.front.Isolator, Log: g.Log}
 	r.run(ctx)
 	return nil
 }
@@ -302,7 +360,12 @@
 		return errors.Wrap(err, "encode gateway record")
 	}
 	for ctx.Err() == nil && !g.stopping.Load() {
+		wasLost := g.follower.gateways.IsLost(g.Name)
 		if g.writeRecord(ctx, b) == nil {
+			if wasLost {
+				g.follower.returns.rewritten.Add(1)
+				g.Log.Info().Str("key", g.Name).Msg("lost-record-written")
+			}
 			g.awaitRecordMissing(ctx)
 		}
 		_ = sleeper.Sleep(ctx, announceRetryInterval)
@@ -311,14 +374,20 @@
 }
 
 // awaitRecordMissing waits until the gateway table lacks the record, also after the time in
-// which a read that began before the last write ends.
+// which a read that began before the last write ends. A store that returned from an older copy
+// lacks the records of many gateways, whose writes are spread over time.
 func (g *Gateway) awaitRecordMissing(ctx context.Context) {
+	written := time.Now()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case <-g.follower.recordMissing:
 		}
-		if sleeper.Sleep(ctx, announceRetryInterval) == nil && !g.follower.hasRecord() {
+		pause := announceRetryInterval
+		if g.follower.gateways.IsLost(g.Name) {
+			pause = max(rand.N(announceSpread), rewriteInterval-time.Since(written))
+		}
+		if sleeper.Sleep(ctx, pause) == nil && g.follower.lacksRecord() {
 			return
 		}
 	}
--- a/internal/direct/holds.go
+++ b/internal/direct/holds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -18,8 +19,11 @@
 	// holdRankDelay is the time after which the next gateway writes a hold that the store lacks,
 	// so that the first one has written it and the others have read it.
 	holdRankDelay = 1500 * time.Millisecond
-	// maxHoldRank bounds the gateways that write one after the other.
-	maxHoldRank = 8
+	// maxHoldRank bounds the gateways that wait for holdRankDelay after each other. Later ones wait
+	// for holdLaterDelay, so that the last of 640 writes after 75 s if none before it does, and
+	// about ten write before they read the first of these records.
+	maxHoldRank    = 8
+	holdLaterDelay = 100 * time.Millisecond
 	// holdTimeout limits one write of a hold, and the claim of a trial.
 	holdTimeout = 800 * time.Millisecond
 )
@@ -31,9 +35,13 @@
 	// Put writes or deletes a record of the gateway table. PutAt does so if the table of this
 	// gateway was complete.
 	Put, PutAt func(ctx context.Context, key string, value []byte) error
-	// Rank returns the place of this gateway among those that write.
-	Rank func() int
-	Log  zerolog.Logger
+	// Rank returns the place of this gateway among the known gateways, -1 if it is none of them, and
+	// Count their number.
+	Rank, Count func() int
+	Log         zerolog.Logger
+
+	// spread is the random part of the wait of a gateway whose place isn't known.
+	spread time.Duration
 }
 
 func holdKey(d isolator.Digest) string { return observer.HoldPrefix + d.String() }
@@ -63,8 +71,7 @@
 		if k.Isolator.IsIdle() {
 			continue
 		}
-		age := holdInterval + time.Duration(min(k.Rank(), maxHoldRank))*holdRankDelay
-		for _, h := range k.Isolator.Unstored(age) {
+		for _, h := range k.Isolator.Unstored(k.wait()) {
 			if k.write(ctx, h) != nil {
 				break
 			}
@@ -73,6 +80,20 @@
 	return nil
 }
 
+// wait returns how long this gateway leaves a hold that the store lacks to those before it. One
+// whose place isn't known comes behind all others.
+func (k *holdKeeper) wait() time.Duration {
+	rank, spread := k.Rank(), time.Duration(0)
+	if rank < 0 {
+		if k.spread == 0 {
+			k.spread = holdRankDelay + rand.N(maxHoldRank*holdRankDelay)
+		}
+		rank, spread = k.Count(), k.spread
+	}
+	first := min(rank, maxHoldRank)
+	return holdInterval + time.Duration(first)*holdRankDelay + time.Duration(rank-first)*holdLaterDelay + spread
+}
+
 func (k *holdKeeper) write(ctx context.Context, h isolator.Hold) error {
 	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
--- a/internal/direct/readers.go
+++ b/internal/direct/readers.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -24,30 +25,55 @@
 	maxDecisionAge     = 1600 * time.Millisecond
 	// maxGatewayAge is the same for the gateway table.
 	maxGatewayAge = 10 * time.Second
-	// readersPerDomain is the number of gateways of a failure domain that read the tables
-	// from the platform for the others; one of them may be lost. In a failure domain with
-	// fewer than minSharingGateways, each gateway reads them.
-	readersPerDomain   = 2
+	// minReaders is the least number of gateways of a failure domain that read the tables from
+	// the platform for the others; one of them may be lost. There is one for gatewaysPerReader,
+	// whose copies of a large revision share its link. In a failure domain with fewer than
+	// minSharingGateways, each gateway reads the tables.
+	minReaders         = 2
+	gatewaysPerReader  = 32
 	minSharingGateways = 8
 )
 
 // share makes a gateway's follower read through the readers of its failure domain. The
 // first source of the follower is the platform.
 func (f *follower) share(o *observer.Follower, r *observer.SharedReader) {
-	peers := &observer.PeerReader{Table: o.Name, Client: f.client, Now: time.Now, Peers: f.readers}
+	peers := &observer.PeerReader{Table: o.Name, Client: f.client, Now: time.Now, Peers: f.readers, Epoch: o.Table.Epoch}
 	r.Platform, r.Readers = o.Sources[0].Read, peers.Read
+	if o.Name == operatorTable {
+		// Its records may be large, while the entries of the other tables are small.
+		others := &observer.PeerReader{Table: o.Name, Client: f.client, Now: time.Now, Peers: f.otherReaders, Epoch: o.Table.Epoch, MaxAge: r.MaxAge}
+		r.Others = others.Read
+	}
 	r.IsShared = func() bool { return len(f.readers()) > 0 }
 	r.IsReader = func() bool { return slices.Contains(f.readers(), f.self) }
-	o.Sources[0].Read, o.WaitFunc, o.PaceFunc = r.Read, r.MaxWait, r.Pace
+	o.Sources[0].ReadWhole = r.ReadWhole
+	o.Sources[0].Read, o.WaitFunc, o.PaceFunc = f.returns.interruptible(r.Read), r.MaxWait, r.Pace
 }
 
 // readers returns the addresses of the gateways of this failure domain that read the
-// shared tables from the platform; none if each gateway does. The order of a gateway's
-// own spreads the reads over them.
-func (f *follower) readers() []netip.AddrPort {
+// shared tables from the platform; none if each gateway does.
+func (f *follower) readers() []netip.AddrPort { return f.readersOf(f.domain) }
+
+// otherReaders returns the readers of the other failure domains.
+func (f *follower) otherReaders() []netip.AddrPort {
+	var l []netip.AddrPort
+	for d := range f.regions {
+		if d != f.domain {
+			l = append(l, f.readersOf(d)...)
+		}
+	}
+	slices.SortFunc(l, func(a, b netip.AddrPort) int {
+		return cmp.Compare(rendezvousHash(f.self, a), rendezvousHash(f.self, b))
+	})
+	return l
+}
+
+// readersOf returns the readers of a failure domain. The order of a gateway's own spreads the
+// reads over them.
+func (f *follower) readersOf(domain string) []netip.AddrPort {
 	var near []rankedGateway
-	for _, g := range f.state.Gateways(f.domain) {
-		if g.Domain == f.domain {
+	for _, g := range f.state.Gateways(domain) {
+		if g.Domain == domain {
 			near = append(near, rankedGateway{address: g.Address, rank: xxhash.Sum64String(g.Name)})
 		}
 	}
@@ -55,7 +81,7 @@
 		return nil
 	}
 	slices.SortFunc(near, rankedGateway.compare)
-	near = near[:readersPerDomain]
+	near = near[:max(minReaders, (len(near)+gatewaysPerReader-1)/gatewaysPerReader)]
 	for i := range near {
 		near[i].rank = rendezvousHash(f.self, near[i].address)
 	}
--- a/internal/direct/receive.go
+++ b/internal/direct/receive.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net/netip"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,8 +24,8 @@
 // reportReceiver receives the load reports of agents. Neither a datagram that is no report
 // nor an error of the socket ends it: without reports, a gateway still serves.
 type reportReceiver struct {
-	// Read reads the next datagram.
-	Read   func(b []byte) (int, error)
+	// Read reads the next datagram and returns the address from which it came.
+	Read   func(b []byte) (int, netip.AddrPort, error)
 	Report func(dispatcher.Report)
 	// Isolator learns what other gateways send of endings.
 	Isolator *isolator.Isolator
@@ -35,7 +36,7 @@
 func (r *reportReceiver) run(ctx context.Context) {
 	b := make([]byte, maxDatagramBytes)
 	for ctx.Err() == nil {
-		n, err := r.Read(b)
+		n, from, err := r.Read(b)
 		if err != nil {
 			if ctx.Err() == nil {
 				r.Log.Warn().Err(err).Msg("reports-not-received")
@@ -52,6 +53,7 @@
 			r.Log.Warn().Err(err).Msg("report-refused")
 			continue
 		}
+		v.From = from
 		r.Report(v)
 	}
 }
--- a/internal/direct/report_test.go
+++ b/internal/direct/report_test.go
@@ -95,3 +95,44 @@
 		t.Errorf("report of a load: %v, want all once", got)
 	}
 }
+
+// While no agent of a large fleet has the endpoint list, each sent all its reports to all gateways:
+// with 93 gateways and 206 agents, 12 Mbit/s on each link between regions, on which the lists have to
+// arrive. They must get one of three, and a change at once, and all of them in a small fleet.
+func TestReportsWithoutList(t *testing.T) {
+	for gateways, want := range map[int][]int{maxSmallFleet: {1, 1, 1, 1, 1, 1}, maxSmallFleet + 1: {1, 0, 0, 1, 0, 1}} {
+		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
+			listen := func() *net.UDPConn {
+				c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { _ = c.Close() })
+				return c
+			}
+			in, out := listen(), listen()
+			to := in.LocalAddr().(*net.UDPAddr).AddrPort()
+			state := &observer.State{Log: zerolog.Nop(), Now: time.Now, DecodeGateway: func(b []byte) (*observer.Gateway, error) {
+				return &observer.Gateway{Name: string(b), Domain: "d1", Address: to}, nil
+			}}
+			for i := range gateways {
+				name := fmt.Sprintf("g%d", i)
+				state.ApplyGateways([]connector.Item{{Key: name, Value: []byte(name), Offset: uint64(i)}})
+			}
+			s := &reportSender{Engine: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "d0", State: state, Socket: out, Log: zerolog.Nop()}
+			r := dispatcher.Report{Versions: map[string]int64{"m": 1}, Load: 3}
+			for i, n := range want {
+				if i == len(want)-1 {
+					r.Closed = true
+				}
+				s.send(r)
+				if _, err := out.WriteToUDPAddrPort([]byte(lastDatagram), to); err != nil {
+					t.Fatal(err)
+				}
+				if got := countReports(t, in); got != n*gateways {
+					t.Errorf("report %d reached %d of %d gateways, want %d", i, got, gateways, n*gateways)
+				}
+			}
+		})
+	}
+}
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -28,13 +28,13 @@
 }
 
 // serve listens on the address and serves in a goroutine of the group until the
-// server is closed.
-func serve(ctx context.Context, e *errgroup.Group, a netip.AddrPort, s *http.Server) (*listener.Drainer, error) {
+// server is closed. The connections count in the budget.
+func serve(ctx context.Context, e *errgroup.Group, a netip.AddrPort, s *http.Server, connections *listener.Budget, k listener.Class) (*listener.Drainer, error) {
 	l, err := listener.Open(ctx, a)
 	if err != nil {
 		return nil, err
 	}
-	d := &listener.Drainer{Server: s, Listener: l}
+	d := &listener.Drainer{Server: s, Listener: connections.Guard(s, l, k)}
 	e.Go(d.Serve)
 	return d, nil
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -136,7 +136,7 @@
 	// Without GetBody the transport can't repeat the request on its own.
 	q.GetBody = nil
 	q.Header = o.header
-	r, err := g.client.Do(q)
+	r, err := header.Do(g.client, q)
 	if err != nil {
 		return nil, err
 	}
@@ -144,9 +144,9 @@
 		_ = r.Body.Close()
 		return nil, errors.Newf("response to request %q", id)
 	}
-	if connector.IsEndedByClose(r) || r.StatusCode < http.StatusOK {
+	if connector.IsEndedByClose(r) {
 		_ = r.Body.Close()
-		return nil, errors.Newf("response %s has neither a length nor chunks, or a status that can't be passed on", r.Status)
+		return nil, errors.Newf("response %s has neither a length nor chunks", r.Status)
 	}
 	return r, nil
 }
@@ -171,6 +171,7 @@
 	g.Log.Warn().Str("request-id", c.id).Str("endpoint", string(p.name)).Stringer("outcome", a.outcome).Err(err).
 		Msg("attempt failed")
 	g.counters.attempt(ctx, c.serves, a.outcome.String())
+	g.counters.response(ctx, c.serves, err)
 	return a
 }
 
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -21,8 +21,6 @@
 )
 
 const (
-	// maxHeader is the maximum size of the request headers in bytes.
-	maxHeader = 64 << 10
 	// maxBody is the maximum size of a request body in bytes.
 	maxBody = 8 << 20
 	// maxCallerID and maxIdempotencyKey are the maximum lengths in bytes of IDs
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,7 +94,9 @@
 	counters       counters
 	stopper        stopper.Stopper
 	buffers        receiver.Buffers
-	turns          atomic.Uint64
+	// connections is the budget of the connections that others make.
+	connections *listener.Budget
+	turns       atomic.Uint64
 	// foreignEndpoints is the number of endpoints in the table that belong to
 	// other failure domains. Their agents attach here after losing their own
 	// gateways.
@@ -129,8 +131,10 @@
 	t.Go(func() error { return listener.IgnoreStop(work, x.Run(work)) })
 	t.Go(servers.callers.Serve)
 	t.Go(servers.peers.Serve)
-	t.Go(func() error { return servers.operators.Serve(l.operators) })
-	t.Go(func() error { return servers.relay.Serve(l.relay) })
+	t.Go(func() error {
+		return servers.operators.Serve(servers.operatorListener)
+	})
+	t.Go(func() error { return servers.relay.Serve(servers.relayListener) })
 	t.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -165,8 +169,8 @@
 
 // newGRPCServer returns a server whose Stop waits no longer than handshakeTimeout for connections
 // that are being opened.
-func newGRPCServer(c *tls.Config, o []grpc.ServerOption) *grpc.Server {
-	return grpc.NewServer(append(o, grpc.Creds(authenticator.Credentials(c)), grpc.ConnectionTimeout(handshakeTimeout))...)
+func (g *Gateway) newGRPCServer(c *tls.Config, l *listener.Guard, o []grpc.ServerOption) *grpc.Server {
+	return grpc.NewServer(append(append(o, g.streamLimits(l)...), grpc.Creds(authenticator.Credentials(c)), grpc.ConnectionTimeout(handshakeTimeout))...)
 }
 
 func (g *Gateway) listen(ctx context.Context) (l listeners, err error) {
@@ -206,6 +210,7 @@
 	g.replica = &follower.Replica{Log: g.Log}
 	platform := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: header.MaxResponseBytes}}
 	g.follow = &follower.Follower{Log: connector.NewLog(g.LogURL, platform), Replica: g.replica}
+	g.follow.Log.Unconfirmed = follower.LogUnconfirmed(g.Log)
 	g.list.client = connector.NewInstances(g.InstancesURL, platform)
 	g.picker.Table = &g.table
 	g.keyed = router.Picker{Table: &g.table, AffinityFactor: math.MaxInt32}
@@ -230,6 +235,13 @@
 	if err := g.counters.make(g.Metrics.Meter); err != nil {
 		return nil, err
 	}
+	if g.connections, err = listener.NewBudget(g.Descriptors, g.Memory, g.Log); err != nil {
+		return nil, err
+	}
+	if err := g.connections.Register(g.Metrics.Meter); err != nil {
+		return nil, err
+	}
+	g.buffers.Limit = receiver.LimitOf(g.Memory)
 	g.server = g.relayServer(l)
 	return g.newServers(l)
 }
@@ -271,7 +283,14 @@
 type servers struct {
 	callers, peers   *listener.Drainer
 	operators, relay *grpc.Server
-	credentials      credentials.TransportCredentials
+	// operatorListener and relayListener count the connections of these two.
+	operatorListener, relayListener *listener.Guard
+	credentials                     credentials.TransportCredentials
+}
+
+// drainer returns a server whose connections count in the budget.
+func (g *Gateway) drainer(l net.Listener, k listener.Class, s *http.Server) *listener.Drainer {
+	return &listener.Drainer{Server: s, Listener: g.connections.Guard(s, l, k)}
 }
 
 func (g *Gateway) newServers(l listeners) (*servers, error) {
@@ -287,21 +306,23 @@
 	if err != nil {
 		return nil, err
 	}
-	most, err := listener.CallerBound(0)
+	most, err := listener.CallerBound(g.Descriptors)
 	if err != nil {
 		return nil, err
 	}
 	o := g.operatorServer()
+	operators, relay := g.connections.GuardOpaque(l.operators, listener.Operators), g.connections.GuardOpaque(l.relay, listener.Peers)
 	s := &servers{
-		callers: &listener.Drainer{Listener: l.callers, Server: &http.Server{
-			Handler: g.callerRoutes(), TLSConfig: outer, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeader,
+		operatorListener: operators, relayListener: relay,
+		callers: g.drainer(l.callers, listener.Callers, &http.Server{
+			Handler: g.callerRoutes(), TLSConfig: outer, ReadHeaderTimeout: 10 * time.Second,
 			ConnState: (&listener.Trimmer{Most: most}).ConnState,
-		}},
-		peers: &listener.Drainer{Listener: l.peers, Server: &http.Server{
-			Handler: http.HandlerFunc(g.servePeer), TLSConfig: inner, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeader,
-		}},
-		operators:   newGRPCServer(outer, o.Options()),
-		relay:       newGRPCServer(inner, relayer.ServerOptions()),
+		}),
+		peers: g.drainer(l.peers, listener.Peers, &http.Server{
+			Handler: http.HandlerFunc(g.servePeer), TLSConfig: inner, ReadHeaderTimeout: 10 * time.Second,
+		}),
+		operators:   g.newGRPCServer(outer, operators, o.Options()),
+		relay:       g.newGRPCServer(inner, relay, relayer.ServerOptions()),
 		credentials: authenticator.Credentials(client),
 	}
 	operatorv1.RegisterOperatorServiceServer(s.operators, o)
--- a/internal/gateway/snapshots.go
+++ b/internal/gateway/snapshots.go
@@ -67,7 +67,7 @@
 		return n.Offset, true
 	}
 	s := g.replica.Current()
-	parts, err := follower.Split(s)
+	parts, err := g.follow.Split(s)
 	for _, p := range parts {
 		if err == nil {
 			_, err = g.follow.Log.Append(c, connector.SnapshotStream, [][]byte{p})
--- a/internal/listener/drainer.go
+++ b/internal/listener/drainer.go
@@ -83,10 +83,19 @@
 	if errors.Is(err, net.ErrClosed) {
 		err = nil
 	}
-	d.Server.SetKeepAlivesEnabled(false)
+	// SetKeepAlivesEnabled and Shutdown close a connection that was idle when they looked, although
+	// a request may have been read from it since. A guard knows with certainty, but not under
+	// TLS, where it doesn't see requests.
+	g, _ := d.Listener.(*Guard)
+	if g != nil && (g.secure || g.opaque) {
+		g = nil
+	}
+	if g == nil {
+		d.Server.SetKeepAlivesEnabled(false)
+	}
 	t := time.NewTicker(drainInterval)
 	defer t.Stop()
-	for d.isAwaited() {
+	for g != nil && g.drain() || d.isAwaited() {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
--- a/internal/listener/trimmer.go
+++ b/internal/listener/trimmer.go
@@ -2,13 +2,9 @@
 
 import (
 	"container/list"
-	"math"
 	"net"
 	"net/http"
 	"sync"
-
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 )
 
 // Trimmer limits the open connections of a server: above the limit it closes the
@@ -83,13 +79,7 @@
 // CallerBound returns the number of connections that callers may open to a process
 // that may use the given number of file descriptors; 0 stands for the soft
 // RLIMIT_NOFILE of the process.
-func CallerBound(descriptors int) (int, error) {
-	if descriptors > 0 {
-		return descriptors / callerDivisor, nil
-	}
-	var l unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &l); err != nil {
-		return 0, errors.Wrap(err, "read the file descriptor limit")
-	}
-	return int(min(l.Cur, math.MaxInt32)) / callerDivisor, nil
+func CallerBound(files int) (int, error) {
+	n, err := descriptorLimit(files)
+	return n / callerDivisor, err
 }
--- a/internal/receiver/buffers.go
+++ b/internal/receiver/buffers.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// MaxBufferedBytes bounds the total size of the buffers of one process.
+	// MaxBufferedBytes bounds the total size of the buffers of one process that has no lower limit.
 	MaxBufferedBytes = 64 << 20
 	// UncountedBytes is the size up to which a buffer isn't counted, so that large bodies
 	// never cause small ones to be refused.
@@ -20,22 +20,40 @@
 // ErrTooLarge is the cause of an error about a body that exceeds its own limit.
 var ErrTooLarge = errors.New("body too large")
 
-// ErrNoBufferSpace ends the reading of a body whose buffer would exceed MaxBufferedBytes.
+// ErrNoBufferSpace ends the reading of a body whose buffer would exceed the limit of Buffers.
 var ErrNoBufferSpace = errors.New("body buffer limit exceeded")
 
 // Buffers counts the bytes of the buffers in which a process collects what others send. The
 // zero value is ready to use.
-type Buffers struct{ used atomic.Int64 }
+type Buffers struct {
+	// Limit replaces MaxBufferedBytes if it is lower and not 0. It is set before the first use.
+	Limit int64
+	used  atomic.Int64
+}
+
+// memoryDivisor sets the part of an instance's memory that buffers may take.
+const memoryDivisor = 4
+
+// LimitOf returns the limit of the buffers of a process on an instance with the given memory in
+// bytes; 0 if that isn't known.
+func LimitOf(memory int64) int64 { return memory / memoryDivisor }
+
+func (b *Buffers) limit() int64 {
+	if b.Limit > 0 {
+		return min(b.Limit, MaxBufferedBytes)
+	}
+	return MaxBufferedBytes
+}
 
 // Used returns the number of reserved bytes.
 func (b *Buffers) Used() int64 { return b.used.Load() }
 
-// Reserve adds n bytes to the count unless that exceeds MaxBufferedBytes, and reports
+// Reserve adds n bytes to the count unless that exceeds the limit, and reports
 // whether it did.
 func (b *Buffers) Reserve(n int64) bool {
 	for {
 		old := b.used.Load()
-		if old+n > MaxBufferedBytes {
+		if old+n > b.limit() {
 			return false
 		}
 		if b.used.CompareAndSwap(old, old+n) {
--- a/internal/settings/faults.go
+++ b/internal/settings/faults.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -122,6 +123,19 @@
 	return value
 }
 
+// OptionalFloat returns the number of a setting that may be left empty; 0 if it is.
+func (f *Faults) OptionalFloat(setting, value string, low, high float64) float64 {
+	if value == "" {
+		return 0
+	}
+	n, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(n >= low && n <= high) {
+		f.Add(setting, value, fmt.Sprintf("a number of %g to %g, or nothing", low, high))
+		return 0
+	}
+	return n
+}
+
 // Float checks that a number is between low and high, inclusive.
 func (f *Faults) Float(setting string, value, low, high float64) float64 {
 	if value < low || value > high {
--- a/internal/standin/platformlog/log_test.go
+++ b/internal/standin/platformlog/log_test.go
@@ -54,4 +54,23 @@
 		Expect(err).To(MatchError(ContainSubstring("oldest")))
 		Expect(err).To(HaveField("First", uint64(2)))
 	})
+
+	// Guards against a stand-in that keeps what a store loses that returns from an older copy.
+	It("gives offsets out again after its return from an older copy", func() {
+		now := time.Now()
+		l := &platformlog.Log{Now: func() time.Time { return now }}
+		s := httptest.NewServer(l)
+		defer s.Close()
+		c := connector.NewLog(s.URL, s.Client())
+		ctx := context.Background()
+		Expect(c.Append(ctx, "a", [][]byte{{1}, {2}})).To(Equal(uint64(1)))
+		now = now.Add(5 * time.Second)
+		Expect(c.Append(ctx, "a", [][]byte{{3}})).To(Equal(uint64(3)))
+		l.Restore(2 * time.Second)
+		b, err := c.Read(ctx, "a", 1, 10, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.Epoch).To(Equal(uint64(2)))
+		Expect(b.Entries).To(HaveLen(2))
+		Expect(c.Append(ctx, "a", [][]byte{{4}})).To(Equal(uint64(3)))
+	})
 })
--- a/internal/standin/platformlog/stream.go
+++ b/internal/standin/platformlog/stream.go
@@ -39,6 +39,20 @@
 	return s.grown
 }
 
+// cut drops the records that were appended after the time, and ends the waiting of reads.
+func (s *stream) cut(at time.Time) {
+	n := len(s.entries)
+	for n > 0 && s.entries[n-1].At.After(at) {
+		n--
+	}
+	// Readers may still hold the old records.
+	s.entries = append([]connector.Entry(nil), s.entries[:n]...)
+	if s.grown != nil {
+		close(s.grown)
+		s.grown = nil
+	}
+}
+
 // trim drops records older than keepFor and those above keep; 0 keeps all.
 func (s *stream) trim(now time.Time, keepFor time.Duration, keep int) {
 	n := 0
--- a/isolator/hold.go
+++ b/isolator/hold.go
@@ -193,6 +193,7 @@
 			return
 		}
 		k = i.keep(h.Suspect, now)
+		i.touch(k)
 	}
 	isSame := k.held && !h.Released && h.Trials == k.trials
 	if !h.Changed.After(k.changed) {
@@ -200,6 +201,7 @@
 		return
 	}
 	k.last = now
+	defer i.touch(k)
 	if h.Released {
 		k.serve(h.Changed)
 		i.release(k, h.Changed)
@@ -251,9 +253,17 @@
 // reconsider holds the suspects whose endings were explained by one that isn't held any more.
 func (i *Isolator) reconsider() {
 	now := i.now()
+	var x *explanations
 	for _, k := range i.suspects {
-		if !k.held && !i.isForgotten(k, now) && k.count(i.explanation(k, time.Time{})) >= i.maxEndings(k, now) {
+		if k.held || i.isForgotten(k, now) {
+			continue
+		}
+		if x == nil {
+			x = i.explanations(time.Time{})
+		}
+		if k.count(x.of(k)) >= i.maxEndings(k, now) {
 			i.hold(k, 0)
+			x = nil
 		}
 	}
 }
@@ -264,6 +274,7 @@
 	k.serve(now)
 	i.release(k, i.after(k))
 	k.last, k.sentUntil = now, now.Add(newsTime)
+	i.touch(k)
 	i.notify()
 }
 
@@ -272,7 +283,8 @@
 	k.held, k.changed, k.until, k.trials, k.stored, k.decided = false, at, time.Time{}, 0, false, false
 	if wasHeld {
 		k.released = true
-		i.heldList = nil
+		i.heldChanged()
+		i.touch(k)
 		i.reconsider()
 		if i.Released != nil {
 			i.Released(k.hold(), k.refused)
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -52,6 +52,18 @@
 	suspects map[Digest]*suspect
 	// heldList holds the suspects that are held; nil if it has to be made anew.
 	heldList []*suspect
+	// reported holds the suspects that News may have to report: those with sentUntil in the future, and those
+	// with reminders. It may hold others.
+	reported map[*suspect]struct{}
+	// forgetAt is no later than the time after which a suspect is forgotten; the zero value if there is
+	// none.
+	forgetAt time.Time
+	// isStale reports whether a held suspect has changed since the last call of explain, explainAt is
+	// when its result may change otherwise, the zero value for never, and soundTrims is
+	// soundSet.trims at that time.
+	isStale    bool
+	explainAt  time.Time
+	soundTrims int
 }
 
 func (i *Isolator) now() time.Time {
@@ -99,6 +111,21 @@
 		defer i.notify()
 	}
 	i.decide(k, e, now)
+	i.touch(k)
+}
+
+// touch records that a suspect has changed.
+func (i *Isolator) touch(k *suspect) {
+	if t := k.forgottenAfter(); i.forgetAt.IsZero() || t.Before(i.forgetAt) {
+		i.forgetAt = t
+	}
+	i.isStale = i.isStale || k.held
+	if i.suspects[k.Digest] == k && (!k.sentUntil.IsZero() || k.hasReminders()) {
+		if i.reported == nil {
+			i.reported = make(map[*suspect]struct{})
+		}
+		i.reported[k] = struct{}{}
+	}
 }
 
 // decide holds or releases a suspect after an ending was added or served.
@@ -116,7 +143,7 @@
 			k.until = t
 		}
 		i.explain()
-	case k.count(i.explanation(k, time.Time{})) >= i.maxEndings(k, now):
+	case k.count(i.explanations(time.Time{}).of(k)) >= i.maxEndings(k, now):
 		i.hold(k, 0)
 		i.explain()
 	}
@@ -134,36 +161,34 @@
 	return n
 }
 
-// explanation returns whether the end of a process is explained by a suspect that is held: one that
-// has an ending which k lacks, so that k alone can't be at fault, or one beside which k was sound a
-// moment ago. An ending after the given time, if one is given, isn't lacked: the news that k had it
-// as well may be on its way.
-func (i *Isolator) explanation(k *suspect, until time.Time) func(process string) bool {
-	now := i.now()
-	wasSound := i.sound.has(k.Digest, now)
-	var l []*suspect
-	for _, o := range i.held() {
-		if o != k && (!k.coversUntil(o, until) || wasSound && !i.sound.has(o.Digest, now)) {
-			l = append(l, o)
-		}
-	}
-	return func(process string) bool {
-		return slices.ContainsFunc(l, func(o *suspect) bool { return o.has(process) })
-	}
-}
-
 // explain releases the suspects whose endings are explained by others that are held. Only a gateway
 // that decided the hold knows enough to: one that learned it doesn't know the endings since.
 func (i *Isolator) explain() {
 	settled := i.now().Add(-newsTime)
+	i.isStale, i.explainAt, i.soundTrims = false, time.Time{}, i.sound.trimCount()
+	var x *explanations
 	for _, k := range slices.Clone(i.held()) {
-		if k.held && k.decided && k.trials == 0 && k.unserved() > 0 && k.count(i.explanation(k, settled)) == 0 {
+		if !k.held || !k.decided || k.trials != 0 || k.unserved() == 0 {
+			continue
+		}
+		if x == nil {
+			x = i.explanations(settled)
+			i.explainAt = x.changesAt
+		}
+		if k.count(x.of(k)) == 0 {
 			i.release(k, i.after(k))
 			k.sentUntil = i.now().Add(newsTime)
+			i.touch(k)
+			x = nil
 		}
 	}
 }
 
+// isExplainDue reports whether explain may have another result than at its last call.
+func (i *Isolator) isExplainDue(now time.Time) bool {
+	return i.isStale || !i.explainAt.IsZero() && !now.Before(i.explainAt) || i.soundTrims != i.sound.trimCount()
+}
+
 // held returns the suspects that are held.
 func (i *Isolator) held() []*suspect {
 	if i.heldList == nil {
@@ -185,17 +210,22 @@
 	k.until = k.changed.Add(i.holdTime(trials))
 	k.sentUntil = k.changed.Add(newsTime)
 	i.listChanged(begins, k)
+	i.touch(k)
 	i.notify()
 }
 
 // listChanged records that a suspect is held, and tells of it if it wasn't before.
 func (i *Isolator) listChanged(begins bool, k *suspect) {
-	i.heldList, k.released = nil, false
+	i.heldChanged()
+	k.released = false
 	if begins && i.Held != nil {
 		i.Held(k.hold())
 	}
 }
 
+// heldChanged records that the suspects that are held have changed.
+func (i *Isolator) heldChanged() { i.heldList, i.isStale = nil, true }
+
 // keep adds a suspect, and forgets others if there are too many.
 func (i *Isolator) keep(s Suspect, now time.Time) *suspect {
 	if i.suspects == nil {
@@ -205,8 +235,8 @@
 		i.trim(now)
 	}
 	k := &suspect{Suspect: s}
-	if o := i.suspects[s.Digest]; o != nil && o.held {
-		i.heldList = nil
+	if o := i.suspects[s.Digest]; o != nil {
+		i.drop(o)
 	}
 	i.suspects[s.Digest] = k
 	i.known.Store(int32(len(i.suspects)))
@@ -216,25 +246,39 @@
 // trim forgets an eighth of the suspects: those with the fewest endings, of which the last one is
 // the oldest.
 func (i *Isolator) trim(now time.Time) {
-	maps.DeleteFunc(i.suspects, func(_ Digest, k *suspect) bool { return i.isForgotten(k, now) })
+	i.dropForgotten(now)
 	l := slices.SortedFunc(maps.Keys(i.suspects), func(a, b Digest) int {
 		x, y := i.suspects[a], i.suspects[b]
 		return cmp.Or(cmp.Compare(x.rank(), y.rank()), x.last.Compare(y.last))
 	})
 	for _, d := range l[:max(0, len(l)-maxSuspects*7/8)] {
-		delete(i.suspects, d)
+		i.drop(i.suspects[d])
 	}
-	i.heldList = nil
 }
 
-// isForgotten reports whether what is known against a suspect is too old to count.
-func (i *Isolator) isForgotten(k *suspect, now time.Time) bool {
+// dropForgotten drops the suspects against which nothing is known that counts.
+func (i *Isolator) dropForgotten(now time.Time) {
+	i.forgetAt = time.Time{}
+	for _, k := range i.suspects {
+		if i.isForgotten(k, now) {
+			i.drop(k)
+		} else if t := k.forgottenAfter(); i.forgetAt.IsZero() || t.Before(i.forgetAt) {
+			i.forgetAt = t
+		}
+	}
+}
+
+func (i *Isolator) drop(k *suspect) {
+	delete(i.suspects, k.Digest)
+	delete(i.reported, k)
 	if k.held {
-		return now.Sub(k.until) > finalHold
+		i.heldChanged()
 	}
-	return now.Sub(k.last) > memory
 }
 
+// isForgotten reports whether what is known against a suspect is too old to count.
+func (i *Isolator) isForgotten(k *suspect, now time.Time) bool { return now.After(k.forgottenAfter()) }
+
 // Served records that a request with the suspects was served: its answer was whole, and began at a
 // time. They were sound then.
 func (i *Isolator) Served(began time.Time, all ...Suspect) {
@@ -252,6 +296,7 @@
 	for _, s := range all {
 		if k := i.suspects[s.Digest]; k != nil {
 			i.clear(k, began, now)
+			i.touch(k)
 		}
 	}
 }
--- a/isolator/news.go
+++ b/isolator/news.go
@@ -10,25 +10,34 @@
 const maxNews = 4
 
 // News returns messages for other gateways: what this process saw and decided in the last moment,
-// and at an interval what it saw of the suspects that are held.
+// and at an interval what it saw of the suspects that are held. Suspects without news cost nothing, and
+// those with news at most in proportion to the number of suspects, unless it releases some of them.
 func (i *Isolator) News() []Message {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.now()
-	i.explain()
+	if i.isExplainDue(now) {
+		i.explain()
+	}
+	if now.After(i.forgetAt) && !i.forgetAt.IsZero() {
+		i.dropForgotten(now)
+	}
 	var l []*suspect
-	for d, k := range i.suspects {
+	for k := range i.reported {
 		switch {
-		case i.isForgotten(k, now):
-			delete(i.suspects, d)
-			i.heldList = nil
 		case now.Before(k.sentUntil):
 			l = append(l, k)
-		case k.decided && !k.stored && now.Sub(k.reminded) >= reminderInterval:
+		case !k.hasReminders():
+			delete(i.reported, k)
+		case now.Sub(k.reminded) >= reminderInterval:
 			k.reminded = now
 			l = append(l, k)
 		}
 	}
+	if len(i.reported) == 0 {
+		// A map that was large takes long to iterate over.
+		i.reported = nil
+	}
 	i.known.Store(int32(len(i.suspects)))
 	slices.SortFunc(l, func(a, b *suspect) int {
 		return cmp.Or(cmp.Compare(b.rank(), a.rank()), b.last.Compare(a.last))
--- a/isolator/suspect.go
+++ b/isolator/suspect.go
@@ -154,6 +154,17 @@
 	return h
 }
 
+// forgottenAfter returns the time after which what is known against the suspect is too old to count.
+func (k *suspect) forgottenAfter() time.Time {
+	if k.held {
+		return k.until.Add(finalHold)
+	}
+	return k.last.Add(memory)
+}
+
+// hasReminders reports whether other gateways are reminded of the suspect.
+func (k *suspect) hasReminders() bool { return k.decided && !k.stored }
+
 // rank orders suspects by how much is known against them: those that were held come last.
 func (k *suspect) rank() int {
 	if k.held {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -72,9 +72,12 @@
 	Link float64
 	// MaxVersionDelay is the time in which all instances have to serve a new target version.
 	MaxVersionDelay time.Duration
-	State           *observer.State
-	Reporter        *Reporter
-	Replica         *connector.Replica
+	// Grace is the time for which gateways use an older version after a newer one was named;
+	// 0 stands for MaxVersionDelay.
+	Grace    time.Duration
+	State    *observer.State
+	Reporter *Reporter
+	Replica  *connector.Replica
 	// Digests asks other instances for the digests of a version. After an error of kind
 	// Refused the Loader asks them again soon, after any other it asks the origin.
 	Digests func(ctx context.Context, model string, version int64) ([][32]byte, error)
@@ -82,6 +85,9 @@
 	Learned func(ctx context.Context, model string, version int64, digests [][32]byte)
 	// Pieces returns a client of the origin at the address.
 	Pieces func(netip.AddrPort) *connector.Pieces
+	// Manifests returns a client of the origin for manifests, so that they don't wait for the
+	// connections of pieces; nil stands for Pieces.
+	Manifests func(netip.AddrPort) *connector.Pieces
 	// NewFetcher returns a fetcher for an origin in the given failure domain.
 	NewFetcher func(o *connector.Origin, domain string) *distributor.Fetcher
 	Store      *distributor.Store
@@ -99,6 +105,11 @@
 	superseded atomic.Int64
 	// fetching is the version that is being fetched with the origin; 0 if there is none.
 	fetching atomic.Int64
+	// completing reports whether the superseded version is completed from the origin, and
+	// supersededReads counts the reads for that. originAnswered reports whether the last read of
+	// the target version from the origin succeeded.
+	completing, originAnswered atomic.Bool
+	supersededReads            atomic.Int64
 	// staging guards the staged pieces between their check and the load order.
 	staging sync.Mutex
 
@@ -107,6 +118,9 @@
 	manifests map[int64]*manifest
 	// pieces holds the piece with each digest.
 	pieces map[recorder.Digest]piece
+	// client reads pieces from the origin, and manifestClient manifests; nil before its address
+	// is known.
+	client, manifestClient *connector.Pieces
 }
 
 // Run fetches and loads each new target version until ctx is done. Fetching, staging and
@@ -134,6 +148,33 @@
 	return nil
 }
 
+// Stats holds the state of the versions of a Loader.
+type Stats struct {
+	// Complete is the newest version of which the store has all pieces, and Superseded the one
+	// that is completed beside a newer one; 0 if there is none.
+	Complete, Superseded int64
+	// Completing reports whether the missing pieces of Superseded are read from the origin.
+	Completing bool
+	// SupersededReads counts the reads of such pieces.
+	SupersededReads int64
+	// Chunks counts what was transferred for the target versions.
+	Chunks distributor.Stats
+}
+
+// Stats returns the current state. It may be called at any time.
+func (l *Loader) Stats() Stats {
+	s := Stats{
+		Complete: l.complete.Load(), Superseded: l.superseded.Load(), Completing: l.completing.Load(),
+		SupersededReads: l.supersededReads.Load(),
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.fetcher != nil {
+		s.Chunks = l.fetcher.Stats()
+	}
+	return s
+}
+
 // engine returns the configurations of the engine and of the origin, or nil while
 // either isn't known.
 func (l *Loader) engine() (*resolver.Engine, *resolver.Service) {
@@ -233,14 +274,15 @@
 func (l *Loader) awaitLoadStart(ctx context.Context, model string, version int64) bool {
 	since := l.since(model, version)
 	start := timekeeper.Now()
+	superseded := version < l.target(model).Version
 	if s, _ := l.Reporter.State(); s.Versions[model] > 0 {
 		place := place(l.State.Endpoints(), l.Service, l.Address)
-		start = loadStart(place, since, start, l.latestLoad(model, version), l.MaxVersionDelay)
+		start = loadStart(place, since, start, l.latestLoad(model, version, start), l.MaxVersionDelay)
 	}
 	for timekeeper.Now().Before(start) && l.complete.Load() == version {
 		// An engine that is silent keeps its turn. If it has restarted, its first answer
 		// has no version.
-		if s, _ := l.Reporter.State(); s.Versions[model] == 0 {
+		if s, _ := l.Reporter.State(); s.Versions[model] == 0 || superseded && l.isUseless(model, timekeeper.Now()) {
 			break
 		}
 		_ = sleeper.Sleep(ctx, min(pollInterval, start.Sub(timekeeper.Now())))
@@ -297,6 +339,9 @@
 	if !known {
 		return time.Time{}, state, fail("order", classifier.Unavailable, errors.New("the engine doesn't answer"))
 	}
+	if until, limited := l.usedUntil(e.Model, version); limited && timekeeper.Now().Add(e.Warm).After(until) {
+		return time.Time{}, state, fail("order", classifier.Unavailable, errors.New("the superseded version isn't used any more when it is loaded"))
+	}
 	began := time.Now()
 	err = l.replica().start(ctx, e.Model, version, state.Orders, cut)
 	l.Log.Info().Int64("version", version).Int64("orders", state.Orders).Bool("cut", cut).AnErr("refusal", err).Msg("load-ordered")
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -221,3 +222,27 @@
 	f.run(t, 1)
 	f.checkLoadedPieces(t)
 }
+
+// Guards against an instance that waits for a silent origin while other instances have learned
+// the digests: it began to fetch a version 1.4 s after the others.
+func TestPeersBesideSilentOrigin(t *testing.T) {
+	f := newFixture()
+	f.origin.silentManifests = 100
+	var asked atomic.Int64
+	f.loader.Digests = func(context.Context, string, int64) ([][32]byte, error) {
+		if asked.Add(1) <= 2 {
+			return nil, errors.New("not yet")
+		}
+		var d [][32]byte
+		for n := range pieces {
+			d = append(d, sha256.Sum256(weights(1, n)))
+		}
+		return d, nil
+	}
+	began := time.Now()
+	f.run(t, 1)
+	f.checkLoadedPieces(t)
+	if d := time.Since(began); d > time.Second {
+		t.Errorf("loaded after %s", d)
+	}
+}
--- a/loader/spread.go
+++ b/loader/spread.go
@@ -128,16 +128,37 @@
 		return
 	}
 	l.origin = o.Origin
-	p := l.Pieces(o.Origin)
-	l.fetcher = l.NewFetcher(&connector.Origin{Fetch: func(ctx context.Context, d recorder.Digest) (io.ReadCloser, int64, error) {
-		l.mu.Lock()
-		i, ok := l.pieces[d]
-		l.mu.Unlock()
-		if !ok {
-			return nil, 0, fail("fetch piece", classifier.NotFound, errors.Newf("no known piece has the digest %s", d))
-		}
-		return p.Piece(ctx, i.model, i.version, i.number)
-	}}, o.Domain)
+	l.mu.Lock()
+	l.client = l.Pieces(o.Origin)
+	l.manifestClient = l.client
+	if l.Manifests != nil {
+		l.manifestClient = l.Manifests(o.Origin)
+	}
+	l.fetcher = l.NewFetcher(&connector.Origin{Fetch: l.fetchTargetPiece}, o.Domain)
+	l.mu.Unlock()
+}
+
+// fetchTargetPiece opens a piece of the target version at the origin.
+func (l *Loader) fetchTargetPiece(ctx context.Context, d recorder.Digest) (io.ReadCloser, int64, error) {
+	l.mu.Lock()
+	version := l.pieces[d].version
+	l.mu.Unlock()
+	l.leaveToSuperseded(ctx, version)
+	body, size, err := l.fetchPiece(ctx, d)
+	l.originAnswered.Store(err == nil)
+	return body, size, err
+}
+
+// fetchPiece opens the piece with the digest at the origin.
+func (l *Loader) fetchPiece(ctx context.Context, d recorder.Digest) (io.ReadCloser, int64, error) {
+	l.mu.Lock()
+	i, ok := l.pieces[d]
+	p := l.client
+	l.mu.Unlock()
+	if !ok || p == nil {
+		return nil, 0, fail("fetch piece", classifier.NotFound, errors.Newf("no known piece has the digest %s", d))
+	}
+	return p.Piece(ctx, i.model, i.version, i.number)
 }
 
 // learn returns the manifest of a version, with digests from other instances or from
@@ -154,7 +175,7 @@
 	}
 	if err != nil {
 		l.Log.Debug().Err(err).Int64("version", version).Msg("digests-not-at-peers")
-		if d, err = l.digestsFromOrigin(ctx, e.Model, version); err != nil {
+		if d, fromOrigin, err = l.firstDigests(ctx, e.Model, version); err != nil {
 			return nil, fail("learn version "+strconv.FormatInt(version, 10), classifier.Of(err), err)
 		}
 	}
@@ -167,6 +188,38 @@
 	return l.keep(e, version, d)
 }
 
+// firstDigests reads the digests of a version from the origin, and asks the other instances
+// again meanwhile. It returns what comes first and whether that is from the origin. An origin
+// that becomes available again may be silent for long to some instances: one learned of a
+// version 1.4 s after the others.
+func (l *Loader) firstDigests(ctx context.Context, model string, version int64) (d [][32]byte, fromOrigin bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		digests [][32]byte
+		err     error
+	}
+	origin, peers := make(chan answer, 1), make(chan [][32]byte, 1)
+	go func() {
+		d, err := l.digestsFromOrigin(ctx, model, version)
+		origin <- answer{d, err}
+	}()
+	go func() {
+		for sleeper.Sleep(ctx, pollInterval) == nil {
+			if d, err := l.Digests(ctx, model, version); err == nil {
+				peers <- d
+				return
+			}
+		}
+	}()
+	select {
+	case a := <-origin:
+		return a.digests, true, a.err
+	case d := <-peers:
+		return d, false, nil
+	}
+}
+
 // digestsFromOrigin reads the digests of a version twice and compares the responses.
 // They carry no checksum, and no piece would ever match a corrupt digest.
 func (l *Loader) digestsFromOrigin(ctx context.Context, model string, version int64) ([][32]byte, error) {
@@ -174,7 +227,9 @@
 	defer cancel()
 	ctx, stop := watcher.WithIdleTimeout(ctx, manifestIdleTimeout, manifestIdleTimeout)
 	defer stop()
-	p := l.Pieces(l.origin)
+	l.mu.Lock()
+	p := l.manifestClient
+	l.mu.Unlock()
 	var first, second [][32]byte
 	g, ctx := errgroup.WithContext(ctx)
 	read := func(d *[][32]byte) func() error {
--- a/loader/superseded.go
+++ b/loader/superseded.go
@@ -38,24 +38,59 @@
 const supersededLoadShare = 0.6
 
 // latestLoad returns the latest time at which the load of a superseded version is of use;
-// the zero time if the version isn't superseded or the date of the newer one isn't known.
-func (l *Loader) latestLoad(model string, version int64) time.Time {
-	n := l.target(model)
-	if version >= n.Version || n.Since.IsZero() {
+// the zero time if the version isn't superseded or the date of the newer one isn't known. An
+// engine that serves nothing that may be used loads it as long as it is of some use: engines
+// without it would serve nothing until the newer version is there.
+func (l *Loader) latestLoad(model string, version int64, now time.Time) time.Time {
+	until, limited := l.usedUntil(model, version)
+	if !limited || until.IsZero() {
 		return time.Time{}
 	}
-	return n.Since.Add(time.Duration(float64(l.MaxVersionDelay) * supersededLoadShare))
+	latest := until.Add(-l.grace()).Add(time.Duration(float64(l.MaxVersionDelay) * supersededLoadShare))
+	e := l.Engine()
+	if e == nil {
+		return latest
+	}
+	if l.isUseless(model, now) {
+		if t := latestOrder(until, e.Warm); t.After(latest) {
+			return t
+		}
+	}
+	// A load that ends later is refused when the engine is closed already, again and again.
+	if t := until.Add(-e.Warm - closeNotice); t.Before(latest) {
+		return t
+	}
+	return latest
 }
 
 // isTooLate reports whether a version is superseded and its load would end too late to be
 // of use.
 func (l *Loader) isTooLate(model string, version int64, now time.Time) bool {
-	return version < l.target(model).Version && now.After(l.latestLoad(model, version))
+	return version < l.target(model).Version && now.After(l.latestLoad(model, version, now))
 }
 
-// supersededStep fetches the rest of a superseded version from other instances. If the
-// origin becomes unavailable before it has sent the newer version, the superseded one is
-// the only one that may be served once the grace period of the versions before it ends.
+// isUseless reports whether the engine serves nothing that gateways use.
+func (l *Loader) isUseless(model string, now time.Time) bool {
+	s, _ := l.Reporter.State()
+	until, limited := l.usedUntil(model, s.Versions[model])
+	return s.Versions[model] == 0 || limited && !now.Before(until)
+}
+
+func (l *Loader) usedUntil(model string, version int64) (until time.Time, limited bool) {
+	return usedUntil(l.State.Named(model), version, l.grace())
+}
+
+func (l *Loader) grace() time.Duration {
+	if l.Grace > 0 {
+		return l.Grace
+	}
+	return l.MaxVersionDelay
+}
+
+// supersededStep fetches the rest of a superseded version from other instances, and from the
+// origin while the plan says so. If the origin becomes unavailable before it has sent the newer
+// version, the superseded one is the only one that may be served once the grace period of the
+// versions before it ends.
 func (l *Loader) supersededStep(ctx context.Context) error {
 	version := l.superseded.Load()
 	e, o := l.engine()
@@ -64,7 +99,10 @@
 	}
 	m := l.manifest(version)
 	if m == nil || !l.isStillUseful(e, version) {
-		l.superseded.CompareAndSwap(version, 0)
+		if l.superseded.CompareAndSwap(version, 0) {
+			l.completing.Store(false)
+			l.Log.Info().Int64("version", version).Int64("complete", l.complete.Load()).Msg("superseded-version-left")
+		}
 		return nil
 	}
 	work, cancel := context.WithCancel(ctx)
@@ -76,7 +114,7 @@
 		cancel()
 	}()
 	began := time.Now()
-	if _, err := l.NewFetcher(withoutOrigin(), o.Domain).Fetch(work, m.version, nil); err != nil {
+	if _, err := l.NewFetcher(l.supersededOrigin(version), o.Domain).Fetch(work, m.version, nil); err != nil {
 		if work.Err() != nil {
 			return nil
 		}
@@ -88,12 +126,89 @@
 }
 
 // isStillUseful reports whether an engine could serve a superseded version: it is newer
-// than what the engine serves, no newer one is complete, and it can be loaded in time.
+// than what the engine serves, no newer one is complete, and it can be loaded in time. An
+// engine that doesn't answer counts with its last answer: others wait for the pieces of which
+// this instance is the leader.
 func (l *Loader) isStillUseful(e *resolver.Engine, version int64) bool {
-	s, known := l.Reporter.State()
-	return known && s.Versions[e.Model] < version && l.complete.Load() < version && !l.isTooLate(e.Model, version, timekeeper.Now())
+	s, _ := l.Reporter.State()
+	return s.Versions[e.Model] < version && l.complete.Load() < version && !l.isTooLate(e.Model, version, timekeeper.Now())
+}
+
+// planOf returns the plan of a superseded version.
+func (l *Loader) planOf(e *resolver.Engine, o *resolver.Service, version int64, now time.Time) plan {
+	size := int64(e.Chunks) * e.ChunkSize
+	p := plan{now: now, missing: size, newerMissing: size, origin: o.OriginLink, link: l.Link, warm: e.Warm}
+	p.supersededUntil, _ = l.usedUntil(e.Model, version)
+	p.olderUntil, _ = l.usedUntil(e.Model, version-1)
+	if m := l.manifest(version); m != nil {
+		p.missing = int64(l.missing(m)) * e.ChunkSize
+	}
+	if m := l.manifest(l.target(e.Model).Version); m != nil {
+		p.newerMissing = int64(l.missing(m)) * e.ChunkSize
+	}
+	return p
+}
+
+// missing returns the number of pieces of the manifest that the store lacks.
+func (l *Loader) missing(m *manifest) (n int) {
+	for _, d := range m.Chunks {
+		if !l.Store.Has(d) {
+			n++
+		}
+	}
+	return n
 }
 
+// currentPlan returns the plan of the superseded version, and reports whether it completes the
+// version. It logs each change of that.
+func (l *Loader) currentPlan(version int64) (plan, bool) {
+	e, o := l.engine()
+	if e == nil || version == 0 || version >= l.target(e.Model).Version {
+		return plan{}, false
+	}
+	now := timekeeper.Now()
+	p := l.planOf(e, o, version, now)
+	ok := p.completes() && !l.isTooLate(e.Model, version, now)
+	if l.completing.Swap(ok) != ok {
+		l.Log.Info().Int64("version", version).Bool("from-origin", ok).Int64("missing", p.missing/e.ChunkSize).
+			Dur("gain-ms", p.gain()).Dur("delay-ms", p.delay()).Msg("superseded-version-planned")
+	}
+	return p, ok
+}
+
+// supersededOrigin returns an origin that sends the pieces of a superseded version while the
+// plan completes it, and is unavailable otherwise. The real one is left to the newer version.
+func (l *Loader) supersededOrigin(version int64) *connector.Origin {
+	none := withoutOrigin()
+	return &connector.Origin{Fetch: func(ctx context.Context, d recorder.Digest) (io.ReadCloser, int64, error) {
+		if _, ok := l.currentPlan(version); !ok {
+			return none.Fetch(ctx, d)
+		}
+		l.supersededReads.Add(1)
+		return l.fetchPiece(ctx, d)
+	}}
+}
+
+// leaveToSuperseded waits until the missing pieces of a superseded version have most likely
+// been sent, if the plan reads them first. An instance does so until its first read that
+// succeeds after a failed one, so that the newer version is delayed once, by no more than
+// these pieces take.
+func (l *Loader) leaveToSuperseded(ctx context.Context, version int64) {
+	old := l.superseded.Load()
+	if old == 0 || version <= old || l.originAnswered.Load() {
+		return
+	}
+	p, ok := l.currentPlan(old)
+	for until := p.now.Add(p.delay()); ok && ctx.Err() == nil && timekeeper.Now().Before(until); {
+		_ = sleeper.Sleep(ctx, leavePoll)
+		_, ok = l.currentPlan(old)
+	}
+}
+
+// leavePoll is how often leaveToSuperseded checks whether the pieces have arrived; one piece
+// takes about as long.
+const leavePoll = 20 * time.Millisecond
+
 // withoutOrigin returns an origin that is unavailable, so that the other instances are
 // asked again and again. The real one is left to the newer version.
 func withoutOrigin() *connector.Origin {
--- a/observer/exchange.go
+++ b/observer/exchange.go
@@ -31,13 +31,17 @@
 // tableHeader names the table of a response, so that another response isn't taken for it.
 const tableHeader = "Eelgrass-Table"
 
-// Handler serves tables to peers: GET /v1/tables/{name}?from=N&wait-ms=N. Its fields
-// are set before the first request, and the maps aren't changed.
+// Handler serves tables to peers: GET /v1/tables/{name}?from=N&wait-ms=N&packed=1&epoch=N. Without
+// packed, large values aren't compressed. If the epoch of the reader is lower than that of the
+// table, the response is the whole table; if it is higher, the table isn't used. Its fields are set before the first request, and the
+// maps aren't changed.
 type Handler struct {
 	// Tables holds the tables by the name under which they are served.
 	Tables map[string]*Table
 	// Views holds the views by name; a view takes precedence over a table of that name.
 	Views map[string]*View
+
+	packer packer
 }
 
 // ServeHTTP implements http.Handler.
@@ -61,16 +65,28 @@
 		http.Error(w, "wait-ms is not a number", http.StatusBadRequest)
 		return
 	}
-	if wait := time.Duration(ms) * time.Millisecond; wait > 0 && t.Next() <= from {
+	// Processes of older versions send no epoch.
+	epoch, _ := strconv.ParseUint(q.FormValue("epoch"), 10, 64)
+	if wait := time.Duration(ms) * time.Millisecond; wait > 0 && t.covers(from, epoch) {
 		t.Wait(q.Context().Done(), wait)
 	}
-	c := t.Since(from)
+	c := t.since(from, epoch)
+	if c.Epoch != 0 && c.Epoch < epoch {
+		http.Error(w, "the epoch is higher than that of the table", http.StatusServiceUnavailable)
+		return
+	}
 	if c.Next == 0 {
 		http.Error(w, "nothing is known yet", http.StatusServiceUnavailable)
 		return
 	}
 	if view != nil {
-		view.shorten(c.Items)
+		view.shorten(c)
+	}
+	if q.FormValue("packed") == "1" {
+		if err := h.packer.pack(name, c); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(tableHeader, name)
--- a/observer/gateways.go
+++ b/observer/gateways.go
@@ -13,6 +13,9 @@
 // HoldPrefix begins the keys of the records of the gateway table that tell which requests are held.
 const HoldPrefix = "hold/"
 
+// IsGatewayKey reports whether a record of the gateway table is that of a gateway.
+func IsGatewayKey(key string) bool { return !isDigestKey(key) && !strings.HasPrefix(key, HoldPrefix) }
+
 // ApplyGateways applies new records of gateways, of digests and of holds.
 func (s *State) ApplyGateways(items []connector.Item) {
 	s.mu.Lock()
