direct: a lost record is written again only by a gateway that has read what others wrote

Change: such a write is conditional on the end of the table that the gateway has read. After a conflict it waits until its table has changed (50 ms a look); after four conflicts in one return it writes without the condition. Measured: TestLostRecordsBesideOtherWriters fails without the condition. The test counts records that were written, which is what it is about; refused writes count as calls against the store's rate.

--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/forwarder"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/listener"
@@ -247,6 +248,9 @@
 		Put: func(ctx context.Context, key string, value []byte) error {
 			return f.tables.Gateways.Put(ctx, key, value)
 		},
+		PutAt: func(ctx context.Context, key string, value []byte, p connector.Position) error {
+			return f.tables.Gateways.PutAt(ctx, key, value, p)
+		},
 	}
 }
 
--- a/internal/direct/restore.go
+++ b/internal/direct/restore.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
@@ -26,12 +27,18 @@
 	keepLostGateway = 6 * time.Second
 	// restoreInterval is the interval at which a gateway looks for records that the store lost.
 	restoreInterval = 250 * time.Millisecond
+	// conflictInterval is the interval at which it looks whether it has read what others wrote.
+	conflictInterval = 50 * time.Millisecond
 	// compareDelay is the time in a new epoch in which gateways usually have compared their records
 	// with a peer's. All wait for it: with waits that begin at the own comparison, the first and the
 	// second gateway wrote the same record in 1 of 5 runs.
 	compareDelay = 1500 * time.Millisecond
 	// minWriteRetry is the least pause after a failed write, and half of the longest.
 	minWriteRetry = time.Second
+	// maxConflicts is the number of conditional writes that others' writes may prevent, each at another
+	// end of the table, before the next one is unconditional: in a large fleet in which all gateways
+	// write their own records, a lost record would wait for longer than two seconds otherwise.
+	maxConflicts = 4
 	// claimDelay is the time at the beginning of an epoch in which no trial is claimed, so that
 	// claims of the epoch before are written again. It allows for a first gateway that ended.
 	claimDelay = compareDelay + 2500*time.Millisecond
@@ -115,7 +122,10 @@
 // gateways, which write their own.
 type restorer struct {
 	Table *observer.Table
+	// Put writes a record. PutAt does so if the store has no record after the position, and returns an
+	// error of kind Conflict otherwise.
 	Put   func(ctx context.Context, key string, value []byte) error
+	PutAt func(ctx context.Context, key string, value []byte, p connector.Position) error
 	// Rank returns the place of this gateway among the known gateways, -1 if it is none of them, and
 	// their number.
 	Rank func() (place, count int)
@@ -133,23 +143,34 @@
 	spread time.Duration
 	// notBefore is when the next write may begin after one that failed.
 	notBefore time.Time
+	// outdated is the end of the table at the last conflict. Until it changes, this gateway hasn't read
+	// what others wrote.
+	outdated connector.Position
+	// conflicts counts the conflicts since records were lost.
+	conflicts int
 }
 
 // run writes lost records until ctx is done.
 func (r *restorer) run(ctx context.Context) error {
-	for sleeper.Sleep(ctx, restoreInterval) == nil {
-		r.restore(ctx, timekeeper.Now())
+	for pause := restoreInterval; sleeper.Sleep(ctx, pause) == nil; {
+		if pause = restoreInterval; r.restore(ctx, timekeeper.Now()) {
+			pause = conflictInterval
+		}
 	}
 	return nil
 }
 
 // restore writes the lost records that are due. Those of the next gateway are due later, so that
-// the first one has written them and the others have read them.
-func (r *restorer) restore(ctx context.Context, now time.Time) {
+// the first one has written them and the others have read them. A gateway that hasn't read them by
+// then writes none of them, as its writes depend on the end of its table. It reports whether it waits
+// for what others wrote.
+func (r *restorer) restore(ctx context.Context, now time.Time) (waits bool) {
+	// The end is read before the records: a record that arrives in between makes the write fail.
+	end, _ := r.Table.EpochBegin()
 	lost, since := r.Table.Lost()
 	if len(lost) == 0 {
-		r.written, r.spread = nil, 0
-		return
+		r.written, r.spread, r.conflicts = nil, 0, 0
+		return false
 	}
 	compared, ok := r.Compared()
 	if !ok {
@@ -162,8 +183,11 @@
 	if failed := r.Failed(); failed.After(since) {
 		since = failed
 	}
+	if end == r.outdated {
+		return true
+	}
 	if now.Sub(since) < r.wait() || now.Before(r.notBefore) {
-		return
+		return false
 	}
 	if r.written == nil {
 		r.written = make(map[string]time.Time)
@@ -172,12 +196,20 @@
 		if at, ok := r.written[i.Key]; ok && now.Sub(at) < rewriteInterval {
 			continue
 		}
-		if r.write(ctx, i) != nil {
+		switch err := r.write(ctx, i, end); {
+		case err == nil:
+		case classifier.Of(err) == classifier.Conflict:
+			r.outdated = end
+			r.conflicts++
+			return true
+		default:
 			r.notBefore = now.Add(minWriteRetry + rand.N(minWriteRetry))
-			return
+			return false
 		}
 		r.written[i.Key] = now
+		end.Next++
 	}
+	return false
 }
 
 // wait returns how long this gateway leaves the writes to those before it.
@@ -192,10 +224,17 @@
 	return restoreInterval + time.Duration(count)*holdRankDelay + r.spread
 }
 
-func (r *restorer) write(ctx context.Context, i connector.Item) error {
+// write writes a lost record if the table ends at the position. After maxConflicts it does so in any
+// case.
+func (r *restorer) write(ctx context.Context, i connector.Item, end connector.Position) error {
 	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
-	if err := r.Put(ctx, i.Key, i.Value); err != nil {
+	err := r.put(ctx, i, end)
+	if classifier.Of(err) == classifier.Conflict {
+		r.Log.Info().Err(err).Str("key", i.Key).Msg("lost-record-conflict")
+		return err
+	}
+	if err != nil {
 		r.Log.Warn().Err(err).Str("key", i.Key).Msg("lost-record-not-written")
 		return err
 	}
@@ -204,6 +243,13 @@
 	return nil
 }
 
+func (r *restorer) put(ctx context.Context, i connector.Item, end connector.Position) error {
+	if r.conflicts >= maxConflicts {
+		return r.Put(ctx, i.Key, i.Value)
+	}
+	return r.PutAt(ctx, i.Key, i.Value, end)
+}
+
 // claimAt writes the claim of a trial if the gateway table was complete, and refuses it in the
 // first time of an epoch.
 func (f *follower) claimAt(ctx context.Context, key string, value []byte) error {
--- a/internal/direct/restore_fleet_test.go
+++ b/internal/direct/restore_fleet_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 )
@@ -31,8 +32,8 @@
 type countedTable struct {
 	items map[string]connector.Item
 	next  uint64
-	// reads and writes hold the times of the calls, bytes those of the items that were read, and written how
-	// often each key was written.
+	// reads and writes hold the times of the calls, with conditional writes that wrote nothing, bytes those of
+	// the items that were read, and written how often each key was written.
 	reads, writes []time.Time
 	bytes         int
 	written       map[string]int
@@ -53,9 +54,27 @@
 }
 
 func (s *countingStore) put(table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.append(s.tables[table], key, value)
+}
+
+// putAt writes a record if the table ends at the position, and reports whether it did. A call that writes
+// nothing counts as well.
+func (s *countingStore) putAt(table, key string, value []byte, p connector.Position) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.tables[table]
+	if p != (connector.Position{Epoch: s.epoch, Next: b.next}) {
+		b.writes = append(b.writes, time.Now())
+		return false
+	}
+	s.append(b, key, value)
+	return true
+}
+
+// append appends a record. The caller holds the mutex.
+func (s *countingStore) append(b *countedTable, key string, value []byte) {
 	b.items[key] = connector.Item{Key: key, Value: value, Offset: b.next}
 	b.next++
 	b.writes = append(b.writes, time.Now())
@@ -145,6 +164,12 @@
 			s.put(name, key, value)
 			return nil
 		},
+		PutAt: func(_ context.Context, key string, value []byte, p connector.Position) error {
+			if !s.putAt(name, key, value, p) {
+				return &connector.Error{Op: "append", Kind: classifier.Conflict}
+			}
+			return nil
+		},
 		Reconnect: func() {},
 	}
 }
@@ -218,8 +243,14 @@
 			if most(reads) > maxReads || most(writes) > maxWrites {
 				t.Error("the store refuses some of these calls")
 			}
-			if len(writes) != len(lost) {
-				t.Errorf("%d writes for %d lost records", len(writes), len(lost))
+			written := 0
+			for _, b := range s.tables {
+				for _, n := range b.written {
+					written += n
+				}
+			}
+			if written != len(lost) {
+				t.Errorf("%d records were written, %d lost", written, len(lost))
 			}
 			for _, k := range lost {
 				if n := s.tables[gatewayTable].written[k]; n != 1 {
--- a/internal/direct/restore_test.go
+++ b/internal/direct/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
@@ -74,7 +76,7 @@
 			r := &restorer{
 				Table: lostTable(returned), Returns: &storeReturns{}, Log: zerolog.Nop(), Rank: func() (int, int) { return c.rank, 640 },
 				Compared: func() (time.Time, bool) { return returned.Add(c.comparedAt), c.compared }, Failed: func() time.Time { return returned.Add(c.failed) },
-				Put: func(_ context.Context, key string, _ []byte) error {
+				PutAt: func(_ context.Context, key string, _ []byte, _ connector.Position) error {
 					tries++
 					if c.fails {
 						return errors.New("away")
@@ -97,6 +99,63 @@
 	}
 }
 
+// Guards against records that a second gateway writes because what the first one wrote takes longer to arrive
+// than its wait, and against records that nobody writes because others always write in between.
+func TestLostRecordsBesideOtherWriters(t *testing.T) {
+	returned := timekeeper.Now()
+	due := returned.Add(compareDelay + restoreInterval + holdRankDelay)
+	for _, c := range []struct {
+		name string
+		// ends holds the end of the store's table at each try, and read the end of this gateway's table
+		// before it.
+		ends, read []uint64
+		tries      int
+		want       []string
+	}{
+		{"nobody has written", []uint64{2, 2}, []uint64{2, 2}, 2, []string{"at 2", "at 3"}},
+		{"the first gateway has written, not read yet", []uint64{4, 4, 4}, []uint64{2, 2, 2}, 1, nil},
+		{"another record was written, then read", []uint64{3, 3}, []uint64{2, 3}, 3, []string{"at 3", "at 4"}},
+		{
+			"others write before each try",
+			[]uint64{3, 4, 5, 6, 7, 8},
+			[]uint64{2, 3, 4, 5, 6, 7},
+			maxConflicts + 2,
+			[]string{"any", "any"},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var got []string
+			tries := 0
+			table := lostTable(returned)
+			r := &restorer{
+				Table: table, Returns: &storeReturns{}, Log: zerolog.Nop(), Rank: func() (int, int) { return 1, 640 },
+				Compared: func() (time.Time, bool) { return returned, true }, Failed: func() time.Time { return time.Time{} },
+			}
+			for i, end := range c.ends {
+				table.Apply(connector.Changes{Epoch: 2, Next: c.read[i]}, due)
+				r.Put = func(context.Context, string, []byte) error {
+					tries++
+					got = append(got, "any")
+					return nil
+				}
+				r.PutAt = func(_ context.Context, _ string, _ []byte, p connector.Position) error {
+					tries++
+					if p != (connector.Position{Epoch: 2, Next: end}) {
+						return &connector.Error{Op: "append", Kind: classifier.Conflict}
+					}
+					end++
+					got = append(got, fmt.Sprintf("at %d", p.Next))
+					return nil
+				}
+				r.restore(t.Context(), due)
+			}
+			if !slices.Equal(got, c.want) || tries != c.tries {
+				t.Errorf("wrote %q in %d tries, want %q in %d", got, tries, c.want, c.tries)
+			}
+		})
+	}
+}
+
 // Guards against a trial that two gateways make: the claim of the epoch before may be lost and not
 // written again yet.
 func TestNoClaimAtBeginningOfEpoch(t *testing.T) {
