--- a/follower/epoch.go
+++ b/follower/epoch.go
@@ -82,19 +82,10 @@
 	case !o.hasBeginning:
 		wait = min(wait, max(o.due.Sub(f.now()), minBackoff))
 	}
-	b, err := f.Log.Read(ctx, connector.ConfigurationStream, o.next, readLimit, wait)
-	var e *connector.Error
-	if errors.As(err, &e) && e.Kind == classifier.NotFound && e.First > o.next {
-		f.lastAnswer.Store(f.now().UnixNano())
-		return f.restoreFold(ctx, e.First)
-	}
-	if err != nil {
-		return err
-	}
-	if begun, err := f.checkEpoch(b.Epoch); begun || err != nil {
+	b, err := f.read(ctx, o.next, wait, f.restoreFold)
+	if b == nil || err != nil {
 		return err
 	}
-	f.lastAnswer.Store(f.now().UnixNano())
 	for _, v := range b.Entries {
 		if err := f.applyToFold(v); err != nil {
 			return err
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -93,19 +93,10 @@
 	if !f.Replica.CaughtUp() {
 		wait = 0
 	}
-	b, err := f.Log.Read(c, connector.ConfigurationStream, from, readLimit, wait)
-	var e *connector.Error
-	if errors.As(err, &e) && e.Kind == classifier.NotFound && e.First > from {
-		f.lastAnswer.Store(f.now().UnixNano())
-		return f.restore(c, e.First)
-	}
-	if err != nil {
+	b, err := f.read(c, from, wait, f.restore)
+	if b == nil || err != nil {
 		return err
 	}
-	if begun, err := f.checkEpoch(b.Epoch); begun || err != nil {
-		return err
-	}
-	f.lastAnswer.Store(f.now().UnixNano())
 	for _, v := range b.Entries {
 		if err := f.Replica.Apply(v.Offset, v.Body); err != nil {
 			return err
@@ -117,6 +108,25 @@
 	return nil
 }
 
+// read reads the next records. It returns nil if a new epoch has begun, or if the records have expired,
+// after a call of restore with the first one that is left.
+func (f *Follower) read(ctx context.Context, from uint64, wait time.Duration, restore func(context.Context, uint64) error) (*connector.Batch, error) {
+	b, err := f.Log.Read(ctx, connector.ConfigurationStream, from, readLimit, wait)
+	var e *connector.Error
+	if errors.As(err, &e) && e.Kind == classifier.NotFound && e.First > from {
+		f.lastAnswer.Store(f.now().UnixNano())
+		return nil, restore(ctx, e.First)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if begun, err := f.checkEpoch(b.Epoch); begun || err != nil {
+		return nil, err
+	}
+	f.lastAnswer.Store(f.now().UnixNano())
+	return &b, nil
+}
+
 // checkEpoch returns an error if the log has returned from an older copy since a batch was sent. It
 // begins a new epoch and returns true if it has returned before.
 func (f *Follower) checkEpoch(epoch uint64) (begun bool, err error) {
