dispatcher, forwarder: the caller's path tells which request has no other attempt

Cause: a half-open engine could get the first and only attempt of a request, as the dispatcher took each request without tried endpoints for one that has another attempt. Requests that may run only once, and routes with one attempt, have none. Change: Request.Last, set by the forwarder; it is one of the constraints by which queued requests are compared.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -114,6 +114,8 @@
 	// already reading. It precedes all others, as the caller notices a pause in a
 	// stream at once.
 	Resumed bool
+	// Last is set for a request that has no other attempt if this one fails.
+	Last bool
 	// Prompt is the number of prompt tokens that the engine processes before it
 	// generates the first token, and Answer the largest number of tokens that it generates; 0
 	// for a service without engines.
--- a/dispatcher/grant.go
+++ b/dispatcher/grant.go
@@ -58,8 +58,8 @@
 	// equivalent.
 	account *resolver.Account
 	// rank is that of the match; accounts on one route may differ in it.
-	rank    int
-	resumed bool
+	rank          int
+	resumed, last bool
 }
 
 // unplaced records constraints for which no slot was found.
@@ -73,7 +73,7 @@
 }
 
 func (r Request) constraints() constraints {
-	m := constraints{route: r.Match.Route, rank: r.Match.Rank(), resumed: r.Resumed}
+	m := constraints{route: r.Match.Route, rank: r.Match.Rank(), resumed: r.Resumed, last: r.Last}
 	if a := r.Match.Account; a != nil && len(a.Regions) > 0 {
 		m.account = a
 	}
--- a/dispatcher/half_open.go
+++ b/dispatcher/half_open.go
@@ -84,7 +84,7 @@
 
 // mayTry reports whether a request may go to an endpoint that is due to be tried: one that has
 // another attempt if this one fails, and whose caller isn't reading a stream.
-func mayTry(r Request) bool { return !r.Resumed && len(r.Exclude) == 0 }
+func mayTry(r Request) bool { return !r.Resumed && !r.Last }
 
 // noteLoad records whether a report shows requests.
 func (n *node) noteLoad(r Report, now time.Time) {
--- a/dispatcher/half_open_test.go
+++ b/dispatcher/half_open_test.go
@@ -121,7 +121,7 @@
 		{"first attempt", dispatcher.AlwaysHalfOpen, dispatcher.Request{}, false, false, true},
 		{"no setting", "", dispatcher.Request{}, false, false, false},
 		{"ranks and lengths are alike", dispatcher.HalfOpenMixed, dispatcher.Request{}, false, false, false},
-		{"last attempt", dispatcher.AlwaysHalfOpen, dispatcher.Request{Exclude: []string{"e7"}}, false, false, false},
+		{"last attempt", dispatcher.AlwaysHalfOpen, dispatcher.Request{Last: true}, false, false, false},
 		{"resumed stream", dispatcher.AlwaysHalfOpen, dispatcher.Request{Resumed: true}, false, false, false},
 		{"quick failure", dispatcher.AlwaysHalfOpen, dispatcher.Request{}, true, false, false},
 		{"no report for a second", dispatcher.AlwaysHalfOpen, dispatcher.Request{}, false, true, false},
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -267,7 +267,7 @@
 func (c *call) dispatcherRequest() dispatcher.Request {
 	return dispatcher.Request{
 		Service: c.service, Match: c.match, Exclude: c.triedEndpoints, Deadline: c.deadline, FirstBy: c.firstBy(),
-		Prompt: c.promptTokens, Answer: c.answerTokens, Hint: c.lengthHint, Resumed: c.isStarted(),
+		Prompt: c.promptTokens, Answer: c.answerTokens, Hint: c.lengthHint, Resumed: c.isStarted(), Last: c.isLastAttempt(),
 	}
 }
 
