direct: conflicts of lost records don't add up while others write them

Cause (found in review): a gateway that waits behind one that writes many records slowly conflicted four times in a row and then wrote them without condition, so that they were written twice. Conflicts also added up over two returns of the store. Change: conflicts count as long as no lost record was written, here or by another gateway, and begin anew with an epoch; after an unconditional write the gateway looks again. Measured: TestLostRecordsOfSlowWriter fails without the change.

--- a/internal/direct/restore.go
+++ b/internal/direct/restore.go
@@ -35,9 +35,10 @@
 	compareDelay = 1500 * time.Millisecond
 	// minWriteRetry is the least pause after a failed write, and half of the longest.
 	minWriteRetry = time.Second
-	// maxConflicts is the number of conditional writes that others' writes may prevent, each at another
-	// end of the table, before the next one is unconditional: in a large fleet in which all gateways
-	// write their own records, a lost record would wait for longer than two seconds otherwise.
+	// maxConflicts is the number of conditional writes in a row that others' writes may prevent, each at
+	// another end of the table and with as many lost records left, before the next one is unconditional:
+	// in a large fleet in which all gateways write their own records, a lost record would wait for longer
+	// than two seconds otherwise.
 	maxConflicts = 4
 	// claimDelay is the time at the beginning of an epoch in which no trial is claimed, so that
 	// claims of the epoch before are written again. It allows for a first gateway that ended.
@@ -146,8 +147,9 @@
 	// outdated is the end of the table at the last conflict. Until it changes, this gateway hasn't read
 	// what others wrote.
 	outdated connector.Position
-	// conflicts counts the conflicts since records were lost.
-	conflicts int
+	// conflicts counts the conflicts since a record was last written, here or by another gateway, and
+	// left is the number of lost records at the last one.
+	conflicts, left int
 }
 
 // run writes lost records until ctx is done.
@@ -199,19 +201,34 @@
 		switch err := r.write(ctx, i, end); {
 		case err == nil:
 		case classifier.Of(err) == classifier.Conflict:
-			r.outdated = end
-			r.conflicts++
+			r.noteConflict(end, len(lost))
 			return true
 		default:
 			r.notBefore = now.Add(minWriteRetry + rand.N(minWriteRetry))
 			return false
 		}
 		r.written[i.Key] = now
+		if r.conflicts >= maxConflicts {
+			// Where an unconditional write went isn't known, so the next one begins with a new look.
+			r.conflicts = 0
+			return true
+		}
+		r.conflicts = 0
 		end.Next++
 	}
 	return false
 }
 
+// noteConflict counts a conflict at an end of the table. Conflicts don't add up while other gateways
+// write lost records, or over a return of the store.
+func (r *restorer) noteConflict(end connector.Position, left int) {
+	if left < r.left || end.Epoch != r.outdated.Epoch {
+		r.conflicts = 0
+	}
+	r.outdated, r.left = end, left
+	r.conflicts++
+}
+
 // wait returns how long this gateway leaves the writes to those before it.
 func (r *restorer) wait() time.Duration {
 	place, count := r.Rank()
--- a/internal/direct/restore_fleet_test.go
+++ b/internal/direct/restore_fleet_test.go
@@ -249,6 +249,9 @@
 					written += n
 				}
 			}
+			if refused := len(writes) - written; refused > len(lost) {
+				t.Errorf("the store refused %d conditional writes for %d lost records", refused, len(lost))
+			}
 			if written != len(lost) {
 				t.Errorf("%d records were written, %d lost", written, len(lost))
 			}
--- a/internal/direct/restore_test.go
+++ b/internal/direct/restore_test.go
@@ -117,9 +117,9 @@
 		{"another record was written, then read", []uint64{3, 3}, []uint64{2, 3}, 3, []string{"at 3", "at 4"}},
 		{
 			"others write before each try",
-			[]uint64{3, 4, 5, 6, 7, 8},
-			[]uint64{2, 3, 4, 5, 6, 7},
-			maxConflicts + 2,
+			[]uint64{3, 4, 5, 6, 7, 8, 9, 10, 11, 12},
+			[]uint64{2, 3, 4, 5, 6, 7, 8, 9, 10, 11},
+			2*maxConflicts + 2,
 			[]string{"any", "any"},
 		},
 	} {
@@ -156,6 +156,40 @@
 	}
 }
 
+// Guards against a second gateway that writes without condition although the first one is writing the records, one
+// after the other.
+func TestLostRecordsOfSlowWriter(t *testing.T) {
+	returned := timekeeper.Now()
+	due := returned.Add(compareDelay + restoreInterval + holdRankDelay)
+	table := &observer.Table{}
+	const lost = 3 * maxConflicts
+	before := connector.Changes{Epoch: 1, Next: lost}
+	for i := range lost {
+		before.Items = append(before.Items, connector.Item{Key: fmt.Sprintf("hold/%02d", i), Value: []byte("{}"), Offset: uint64(i)})
+	}
+	table.Apply(before, returned.Add(-time.Second))
+	table.Apply(connector.Changes{Epoch: 2, Full: true}, returned)
+	r := &restorer{
+		Table: table, Returns: &storeReturns{}, Log: zerolog.Nop(), Rank: func() (int, int) { return 1, 640 },
+		Compared: func() (time.Time, bool) { return returned, true }, Failed: func() time.Time { return time.Time{} },
+		PutAt: func(context.Context, string, []byte, connector.Position) error {
+			return &connector.Error{Op: "append", Kind: classifier.Conflict}
+		},
+		Put: func(_ context.Context, key string, _ []byte) error {
+			t.Errorf("%s was written without condition", key)
+			return nil
+		},
+	}
+	for i := range lost - 1 {
+		r.restore(t.Context(), due)
+		n := uint64(i)
+		table.Apply(connector.Changes{Epoch: 2, Next: n + 1, Items: []connector.Item{{Key: fmt.Sprintf("hold/%02d", i), Value: []byte("{}"), Offset: n}}}, due)
+	}
+	if l, _ := table.Lost(); len(l) != 1 {
+		t.Errorf("%d records are lost, want 1", len(l))
+	}
+}
+
 // Guards against a trial that two gateways make: the claim of the epoch before may be lost and not
 // written again yet.
 func TestNoClaimAtBeginningOfEpoch(t *testing.T) {
