dispatcher: half-open engines after review: no starvation, a try from the queue counts

Causes, found in review with trials: - An idle engine was left to the gateways that prefer it also without a failure, if the service was overloaded. Changes: engines are left only after a failure here within 6 s; pick tells lease; the line and the count come with the first event; times count from when requests wait and from the end of a gap in the reports.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -57,7 +57,7 @@
 	// UnevenChanged is called when the lengths of a service's responses begin to vary widely, and when
 	// they no longer do, with a lock held; it may be nil and must not block.
 	UnevenChanged func(c UnevenChange)
-	// Recovered is called when an endpoint that had failed has served the request with which it was
+	// Recovered is called when an endpoint that had failed has begun the request with which it was
 	// tried, with a lock held; it may be nil and must not block.
 	Recovered func(r Recovery)
 	// Now returns the current time; nil means time.Now.
@@ -82,6 +82,8 @@
 	// owed reports whether the present or last call of pick gave the request the place of one of
 	// the most urgent rank, since it is owed a slot and found none otherwise.
 	owed bool
+	// tried reports whether the endpoint that the last call of pick returned failed and is tried.
+	tried bool
 	// extra is the number of requests that the present call of pick may send to an endpoint beyond
 	// its slots, and prefillPart the part of its reading time that their prompts may use.
 	extra       int
--- a/dispatcher/grant.go
+++ b/dispatcher/grant.go
@@ -9,6 +9,7 @@
 // grant assigns free slots to queued requests. The caller must hold d.mu.
 func (d *Dispatcher) grant(p *pool) {
 	now := d.now()
+	p.notePressure(now)
 	for d.grantOne(p, now) {
 	}
 }
--- a/dispatcher/half_open_test.go
+++ b/dispatcher/half_open_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
+	"github.com/eelgrassdrift/eelgrassdrift/observer"
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
 )
 
@@ -14,15 +17,18 @@
 	*fleet
 	// held holds the leases of the failing engine, by gateway.
 	held map[int]*dispatcher.Lease
+	// recovered holds what the gateways say of recoveries.
+	recovered []dispatcher.Recovery
 }
 
 // newHalfOpenFleet returns a fleet whose gateways have had five failures each at the first engine, the
 // last one at the present time, so that it is suspect for 3 s.
 func newHalfOpenFleet(t *testing.T, h dispatcher.HalfOpen) *halfOpenFleet {
 	t.Helper()
-	f := &halfOpenFleet{newFleetOf(4, 2, 12, 1, 20_400), make(map[int]*dispatcher.Lease)}
+	f := &halfOpenFleet{fleet: newFleetOf(4, 2, 12, 1, 20_400), held: make(map[int]*dispatcher.Lease)}
 	for _, g := range f.gateways {
 		g.HalfOpen = h
+		g.Recovered = func(r dispatcher.Recovery) { f.recovered = append(f.recovered, r) }
 		g.Update()
 	}
 	for _, ms := range []int{300, 600, 1200, 2400, 0} {
@@ -114,46 +120,144 @@
 		name    string
 		setting dispatcher.HalfOpen
 		request dispatcher.Request
-		// isQuick reports whether a try of each gateway has just failed at once.
-		isQuick, isSilent bool
-		want              bool
+		// isQuick reports whether a try of a gateway has just failed at once, isSilent whether the engine
+		// hasn't been reported for a second, and isCalm whether nothing waits.
+		isQuick, isSilent, isCalm, want bool
 	}{
-		{"first attempt", dispatcher.AlwaysHalfOpen, dispatcher.Request{}, false, false, true},
-		{"no setting", "", dispatcher.Request{}, false, false, false},
-		{"ranks and lengths are alike", dispatcher.HalfOpenMixed, dispatcher.Request{}, false, false, false},
-		{"last attempt", dispatcher.AlwaysHalfOpen, dispatcher.Request{Last: true}, false, false, false},
-		{"resumed stream", dispatcher.AlwaysHalfOpen, dispatcher.Request{Resumed: true}, false, false, false},
-		{"quick failure", dispatcher.AlwaysHalfOpen, dispatcher.Request{}, true, false, false},
-		{"no report for a second", dispatcher.AlwaysHalfOpen, dispatcher.Request{}, false, true, false},
+		{name: "first attempt", setting: dispatcher.AlwaysHalfOpen, want: true},
+		{name: "no setting"},
+		{name: "ranks and lengths are alike", setting: dispatcher.HalfOpenMixed},
+		{name: "last attempt", setting: dispatcher.AlwaysHalfOpen, request: dispatcher.Request{Last: true}},
+		{name: "resumed stream", setting: dispatcher.AlwaysHalfOpen, request: dispatcher.Request{Resumed: true}},
+		{name: "quick failure", setting: dispatcher.AlwaysHalfOpen, isQuick: true},
+		{name: "no report for a second", setting: dispatcher.AlwaysHalfOpen, isSilent: true},
+		{name: "nothing waits", setting: dispatcher.AlwaysHalfOpen, isCalm: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newHalfOpenFleet(t, c.setting)
 			f.report()
-			// A refusal shows that requests wait.
-			for g := range f.gateways {
-				f.ask(g, dispatcher.Request{Exclude: []string{"e0"}})
-			}
+			f.refuse(0)
 			f.now = f.now.Add(950 * time.Millisecond)
-			if c.isSilent {
-				f.reportFrom(1)
-			} else {
+			f.reportFrom(boolToInt(c.isSilent))
+			switch {
+			case c.isCalm:
+				f.now = f.now.Add(100 * time.Millisecond)
 				f.report()
-			}
-			if c.isQuick {
-				for g := range f.gateways {
-					f.ask(g, dispatcher.Request{})
+			case c.isQuick:
+				if !f.ask(0, dispatcher.Request{}) {
+					t.Fatal("the engine isn't tried")
 				}
 				f.fail()
-				f.now = f.now.Add(200 * time.Millisecond)
+				f.now = f.now.Add(300 * time.Millisecond)
 				f.report()
+				f.refuse(0)
+			default:
+				f.refuse(0)
 			}
-			got := false
-			for g := range f.gateways {
-				got = f.ask(g, c.request) || got
-			}
-			if got != c.want {
-				t.Errorf("a gateway sent the request: %t, want %t", got, c.want)
+			if got := f.ask(0, c.request); got != c.want {
+				t.Errorf("the gateway sent the request: %t, want %t", got, c.want)
 			}
 		})
 	}
 }
+
+// refuse makes the gateway refuse a request for lack of a slot, which shows that requests wait.
+func (f *halfOpenFleet) refuse(g int) { f.ask(g, dispatcher.Request{Exclude: []string{"e0"}}) }
+
+// Guards against several gateways that try an engine at once because it was idle already when requests began to
+// wait.
+func TestTriesBeginWithPressure(t *testing.T) {
+	f := newHalfOpenFleet(t, dispatcher.AlwaysHalfOpen)
+	for range 6 {
+		f.report()
+		f.now = f.now.Add(200 * time.Millisecond)
+	}
+	f.report()
+	for g := range f.gateways {
+		f.refuse(g)
+		f.ask(g, dispatcher.Request{})
+	}
+	if len(f.held) > 1 {
+		t.Errorf("%d requests at the engine at once", len(f.held))
+	}
+}
+
+// Guards against an engine that was tried with the only request of the queue and that is avoided all the same
+// once this has begun, and against a recovery that nobody hears of.
+func TestRecoveryWithQueuedRequest(t *testing.T) {
+	f := newHalfOpenFleet(t, dispatcher.AlwaysHalfOpen)
+	f.report()
+	done := make(chan *dispatcher.Lease)
+	r := dispatcher.Request{Service: "s", Deadline: f.now.Add(time.Minute), Prompt: 500, Match: resolver.Match{Route: &resolver.Route{}}}
+	go func() {
+		l, _ := f.gateways[0].Acquire(t.Context(), r)
+		done <- l
+	}()
+	for i := 0; f.gateways[0].Status()[0].Queued == 0; i++ {
+		if i == 2000 {
+			t.Fatal("the request isn't queued")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	for i := range 4 {
+		f.now = f.now.Add(time.Duration(i) * 100 * time.Millisecond)
+		f.report()
+	}
+	l := <-done
+	if l == nil || l.Endpoint.ID != "e0" || !l.HalfOpen {
+		t.Fatalf("the queued request got %+v, want the engine that failed, as a try", l)
+	}
+	f.held[0] = l
+	l.PrefillDone()
+	if len(f.recovered) != 1 || f.recovered[0].Failures != 5 || f.recovered[0].Early <= 0 {
+		t.Errorf("recoveries %+v, want one after 5 failures, before the time of the engine as suspect was over", f.recovered)
+	}
+	if c := f.gateways[0].Status()[0].HalfOpen; c != (dispatcher.HalfOpenCounts{Sent: 1, Begun: 1}) {
+		t.Errorf("counted %+v", c)
+	}
+	if !f.ask(0, dispatcher.Request{}) {
+		t.Error("the engine is still avoided after the first event")
+	}
+}
+
+// Guards against engines that never failed and are left to other gateways under overload, so that a gateway with
+// more traffic than its own engines bear refuses most of it although others are nearly idle.
+func TestUnevenTrafficWithHalfOpen(t *testing.T) {
+	const gateways, slots = 20, 8
+	var list []*observer.Gateway
+	for i := range gateways {
+		list = append(list, &observer.Gateway{Name: fmt.Sprintf("g%02d", i), Domain: "a"})
+	}
+	served := func(h dispatcher.HalfOpen) int {
+		f := newFleetOf(gateways, 12, slots, 1, 20_400)
+		g := f.gateways[0]
+		g.HalfOpen = h
+		g.Update()
+		n := 0
+		for i := range 300 {
+			for e, v := range f.engines {
+				load := i % 2
+				// At first all are full, so that the gateway refuses requests.
+				if i == 0 || slices.Contains(dispatcher.Sharers(&observer.Endpoint{ID: fmt.Sprintf("e%d", e), Domain: "a"}, list), g.Name) {
+					load = slots
+				}
+				g.Report(dispatcher.Report{Address: v.address, Versions: map[string]int64{"m": 1}, Load: load})
+			}
+			for range 6 {
+				r := dispatcher.Request{Service: "s", Deadline: f.now.Add(-1), Prompt: 500, Match: resolver.Match{Route: &resolver.Route{}}}
+				if l, err := g.Acquire(context.Background(), r); err == nil {
+					n++
+					l.PrefillDone()
+					l.Done(dispatcher.Served)
+				}
+			}
+			f.now = f.now.Add(600 * time.Millisecond)
+		}
+		return n
+	}
+	off, on := served(dispatcher.NeverHalfOpen), served(dispatcher.AlwaysHalfOpen)
+	t.Logf("served %d, %d without the setting", on, off)
+	if on < off {
+		t.Errorf("%d requests served, %d without the setting", on, off)
+	}
+}
--- a/dispatcher/lease.go
+++ b/dispatcher/lease.go
@@ -38,8 +38,6 @@
 	// once it has.
 	prefill time.Duration
 	sentAt  time.Time
-	// suspectUntil is until when the endpoint would be suspect if it weren't tried with this request.
-	suspectUntil time.Time
 	// begunAt is when the first part of the response arrived; the zero value before.
 	begunAt time.Time
 	// grantedAt is the time of sentAt on the clock of package timekeeper.
@@ -80,13 +78,12 @@
 )
 
 func (d *Dispatcher) lease(p *pool, n *node, r Request, now time.Time) *Lease {
-	l := &Lease{Endpoint: n.Endpoint, Load: n.load(now, d.gateways), Owed: d.owed, d: d, pool: p, node: n, request: r, sentAt: now, grantedAt: d.State.Now()}
+	l := &Lease{Endpoint: n.Endpoint, Load: n.load(now, d.gateways), Owed: d.owed, HalfOpen: d.tried, d: d, pool: p, node: n, request: r, sentAt: now, grantedAt: d.State.Now()}
 	if p.model != "" {
 		l.Version = n.version(p.model, now)
 		n.begins.pending = append(n.begins.pending, l)
 	}
-	if l.HalfOpen = mayTry(r) && d.isHalfOpen(p, n, now); l.HalfOpen {
-		l.suspectUntil = n.suspectUntil
+	if l.HalfOpen {
 		p.halfOpenCounts.Sent++
 	}
 	l.prefill = p.prefillTime(r)
@@ -115,7 +112,7 @@
 	l.node.respondedAt = now
 	if l.begunAt.IsZero() {
 		l.begunAt = now
-		l.node.noteBegun(l)
+		l.d.noteRecovery(l, now)
 	}
 	l.settle(true)
 	if l.prefill > 0 {
@@ -157,7 +154,10 @@
 	switch o {
 	case Served:
 		l.served = true
-		d.noteServed(l, now)
+		if l.begunAt.IsZero() {
+			d.noteRecovery(l, now)
+		}
+		n.recordSuccess()
 		l.pool.observeWork(l, now)
 	case Failed:
 		d.noteFailure(l, now)
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -130,6 +130,8 @@
 	// idleSince is when a report first showed no request of any gateway, after one that showed some, and
 	// busySince the reverse.
 	idleSince, busySince time.Time
+	// failedAt is when a request of this gateway last failed.
+	failedAt time.Time
 	// tryAt is when this gateway may try the endpoint after a failure that reports can't have shown.
 	tryAt time.Time
 	// failureRate is the moving average of the share of requests that failed.
--- a/dispatcher/pick.go
+++ b/dispatcher/pick.go
@@ -73,8 +73,15 @@
 const noRoom time.Duration = -1
 
 // pick returns an endpoint that has capacity and a low relative load, or nil.
-// Suspect endpoints are picked only if no other is usable.
 func (d *Dispatcher) pick(p *pool, r Request, now time.Time) *node {
+	n := d.pickInOrder(p, r, now)
+	d.tried = n != nil && d.isTried(p, n, r, now)
+	return n
+}
+
+// pickInOrder picks among the tiers, one after the other. Suspect endpoints are picked only if no
+// other is usable.
+func (d *Dispatcher) pickInOrder(p *pool, r Request, now time.Time) *node {
 	d.room, d.kept, d.withheld, d.owed = noRoom, false, notWithheld, false
 	if !d.isCurrent() {
 		return nil
--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -88,6 +88,8 @@
 	// halfOpen reports whether endpoints that failed are tried before their time as suspect is over.
 	halfOpen       bool
 	halfOpenCounts HalfOpenCounts
+	// pressedSince is when requests began to wait, or the last time at which none did.
+	pressedSince time.Time
 	// model is the model of the engines; empty for a service without engines.
 	model string
 	// readRate is the number of prompt tokens that an engine processes per second.
--- a/dispatcher/recovery_fleet_test.go
+++ b/dispatcher/recovery_fleet_test.go
@@ -105,7 +105,7 @@
 }
 
 // Guards against the same in a small fleet, in which few gateways try an engine that failed, and in a large one,
-// in which many do at once: without requests at half-open engines, an engine was idle for up to 1.7 s with 4 gateways,
+// in which many do at once: without requests at half-open engines, an engine was idle for up to 2.8 s with 4 gateways,
 // and got up to 11 requests before its first event with 65.
 func TestRecoveredEnginesOfOtherFleets(t *testing.T) {
 	t.Parallel()
--- a/dispatcher/subset.go
+++ b/dispatcher/subset.go
@@ -134,7 +134,7 @@
 // tierFor returns the tier of an endpoint for a request. One that failed and is due to be tried is
 // like the others for a request that may try it.
 func (d *Dispatcher) tierFor(p *pool, n *node, r Request, now time.Time) tier {
-	if mayTry(r) && d.isHalfOpen(p, n, now) && !p.isDelayed(n, now) {
+	if d.isTried(p, n, r, now) {
 		return preferredTier
 	}
 	t := p.tier(n, now)
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -158,7 +158,7 @@
 	if p.HalfOpen == (dispatcher.HalfOpenCounts{}) {
 		return
 	}
-	for state, n := range map[string]int64{"sent": p.HalfOpen.Sent, "served": p.HalfOpen.Served} {
+	for state, n := range map[string]int64{"sent": p.HalfOpen.Sent, "begun": p.HalfOpen.Begun} {
 		o.ObserveInt64(requests, n, metric.WithAttributes(attribute.String("service", p.Service), attribute.String("state", state)))
 	}
 }
