review: case 6, also with a frozen gateway in place of a cut

FREEZE=1 review/6/run.sh: a gateway is stopped for a second while the process of a replica is killed and starts again. No relay stands between them.

--- a/review/rig/cut_answers.go
+++ b/review/rig/cut_answers.go
@@ -25,6 +25,9 @@
 // ends behind the cut and starts again. No client may get a success that looks whole and isn't.
 func cutAnswers(f *fleet, trouble bool) (bool, error) {
 	f.unframed = true
+	// For comparison: no relays and no cut; a gateway is frozen while the process of the replica ends and starts again.
+	freeze := os.Getenv("FREEZE") == "1"
+	f.direct = freeze
 	f.configure(1, []route{{prefix: "/lease/", kind: "streaming", service: engines, resumable: true, timeout: 6000, aim: 400, attempts: 2}})
 	for range 6 {
 		if _, err := f.addServer(engines, 1); err != nil {
@@ -59,7 +62,11 @@
 	}
 	if trouble {
 		time.Sleep(3 * time.Second)
-		if err := f.cutAndRestart(f.servers[0]); err != nil {
+		hit := f.cutAndRestart
+		if freeze {
+			hit = f.freezeAndRestart
+		}
+		if err := hit(f.servers[0]); err != nil {
 			return false, err
 		}
 	}
@@ -117,6 +124,28 @@
 	return nil
 }
 
+// freezeAndRestart stops the first gateway for about a second; the process of the replica is killed and starts again meanwhile.
+func (f *fleet) freezeAndRestart(s *server) error {
+	f.note("freezes %s", f.gateways[0].name)
+	f.gateways[0].signal(syscall.SIGSTOP)
+	defer func() {
+		f.gateways[0].signal(syscall.SIGCONT)
+		f.note("%s goes on", f.gateways[0].name)
+	}()
+	time.Sleep(cutTime / 4)
+	f.note("kills %s", s.id)
+	s.kill()
+	old := s.id
+	time.Sleep(cutTime / 4)
+	if err := f.startServer(s, 0); err != nil {
+		return err
+	}
+	f.note("%s is back as %s", old, s.id)
+	time.AfterFunc(3*time.Second, func() { f.drop(old) })
+	time.Sleep(cutTime / 4)
+	return nil
+}
+
 // awaitStreams waits until all gateways serve streams.
 func (f *fleet) awaitStreams(path string) error {
 	for until := time.Now().Add(20 * time.Second); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
