--- a/dispatcher/availability.go
+++ b/dispatcher/availability.go
@@ -4,13 +4,12 @@
 	"time"
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
-	"github.com/eelgrassdrift/eelgrassdrift/observer"
 )
 
 // An endpoint's process says in its responses that it leaves, or that it wants no requests
 // for some time. The endpoint list may not say so for long after, so the dispatcher keeps
 // what a process said apart from the list's entries: an entry that is deleted and written
-// again doesn't bring a leaving process back. Only a newer process ends it.
+// again doesn't bring a leaving process back. Only a process that can't have said it ends it.
 
 const (
 	// resumeTime is the time after a pause in which an endpoint gets requests at a limited
@@ -18,9 +17,6 @@
 	// requests sent since the pause doubles with each resumeStep.
 	resumeTime = time.Second
 	resumeStep = 100 * time.Millisecond
-	// availabilityRetention is how long a process is remembered that the list lacks. It
-	// exceeds the time for which the platform may be away.
-	availabilityRetention = 10 * time.Minute
 	// noticeInterval is the shortest time between two calls of Dispatcher.Noticed for the
 	// pauses of one process.
 	noticeInterval = time.Second
@@ -43,45 +39,61 @@
 	FromResponse NoticeSource = "response"
 	// FromReport is a load report of the endpoint's agent.
 	FromReport NoticeSource = "report"
+	// FromCheck is the answer to the question whether the endpoint leaves.
+	FromCheck NoticeSource = "check"
 )
 
-// process identifies a process of an endpoint.
-type process struct {
-	id      string
-	started int64
-}
-
-func processOf(e *observer.Endpoint) process { return process{e.ID, e.Started.UnixMilli()} }
-
-// availability is what one process has said. The dispatcher's lock guards it.
+// availability is what the processes at one location have said. The dispatcher's lock guards it.
 type availability struct {
-	leaving bool
+	// leaving and paused are the evidence for which process said that it leaves, and that it wants no
+	// requests until pausedUntil.
+	leaving, paused evidence
 	// pausedUntil is the end of the last pause; the zero time if there was none.
 	pausedUntil time.Time
 	// resumed is the number of requests sent since pausedUntil, up to resumeTime.
 	resumed int
-	// heardAt is when the process was last heard or listed, and noticedAt when Noticed was
-	// last called for a pause.
-	heardAt, noticedAt time.Time
+	// noticedAt is when Noticed was last called for a pause.
+	noticedAt time.Time
 }
 
-// isLeaving reports whether the endpoint's process has said that it leaves.
-func (n *node) isLeaving() bool { return n.availability != nil && n.availability.leaving }
+// isLeaving reports whether the endpoint's process has said that it leaves, or may have.
+func (n *node) isLeaving() bool {
+	return n.incarnations != nil && n.incarnations.availability.leaving.of(n) != saidByOther
+}
+
+// pause returns what is known of the pauses of the endpoint's process; nil if it had none. A process
+// that may have started after the response isn't asked, as the pause ends by itself.
+func (n *node) pause() *availability {
+	if n.incarnations == nil {
+		return nil
+	}
+	a := &n.incarnations.availability
+	switch a.paused.of(n) {
+	case saidByOther:
+		return nil
+	case maybeSaid:
+		if n.Started.After(a.paused.heardAt) && !n.hasFutureStart() {
+			return nil
+		}
+	}
+	return a
+}
 
 // isPaused reports whether the endpoint wants no requests from this gateway.
 func (n *node) isPaused(now time.Time) bool { return n.pauseEnd(now).After(now) }
 
 // pauseEnd returns the end of the endpoint's pause, or now if it isn't paused.
 func (n *node) pauseEnd(now time.Time) time.Time {
-	if n.availability == nil || !n.availability.pausedUntil.After(now) {
-		return now
+	if a := n.pause(); a != nil && a.pausedUntil.After(now) {
+		return a.pausedUntil
 	}
-	return n.availability.pausedUntil
+	return now
 }
 
 // isResuming reports whether the endpoint's last pause ended within resumeTime.
 func (n *node) isResuming(now time.Time) bool {
-	return n.availability != nil && !n.isPaused(now) && now.Sub(n.availability.pausedUntil) < resumeTime
+	a := n.pause()
+	return a != nil && !a.pausedUntil.After(now) && now.Sub(a.pausedUntil) < resumeTime
 }
 
 // isResumeLimited reports whether the endpoint has got as many requests since its pause as
@@ -90,28 +102,42 @@
 	if !n.isResuming(now) {
 		return false
 	}
-	steps := int(now.Sub(n.availability.pausedUntil) / resumeStep)
-	return n.availability.resumed >= 1<<steps
+	a := n.pause()
+	steps := int(now.Sub(a.pausedUntil) / resumeStep)
+	return a.resumed >= 1<<steps
 }
 
 // Notice records what the endpoint of the lease said in a response.
 func (d *Dispatcher) Notice(l *Lease, v Notice) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.note(l.pool, l.node, v, FromResponse)
+	d.note(l.pool, l.node, v, evidence{newest: l.newestStart, heardAt: d.now()}, FromResponse)
 }
 
-// note records a notice of the node's process and refuses the queued requests that can't
-// be served any more. The caller must hold d.mu.
-func (d *Dispatcher) note(p *pool, n *node, v Notice, from NoticeSource) {
+// noteReportedLeaving records that a report says that its process leaves. The node is at the address
+// of the report, and may be of an earlier process.
+func (d *Dispatcher) noteReportedLeaving(p *pool, n *node, r Report) {
+	e := evidence{newest: r.Started, isExact: true, heardAt: d.now()}
+	if r.Started.IsZero() {
+		e.newest, e.isExact = n.Started, false
+	}
+	d.note(p, n, Notice{Leaving: true}, e, FromReport)
+}
+
+// note records a notice of the process that the evidence describes, at the location of the node,
+// and refuses the queued requests that can't be served any more. The caller must hold d.mu.
+func (d *Dispatcher) note(p *pool, n *node, v Notice, e evidence, from NoticeSource) {
 	now := d.now()
-	a := d.availabilityOf(p, n)
-	a.heardAt = now
-	leaves := v.Leaving && !a.leaving
-	pauses := v.Pause > 0 && now.Add(v.Pause).After(a.pausedUntil)
-	a.leaving = a.leaving || v.Leaving
+	n.incarnations = d.incarnationsAt(&n.Endpoint, now)
+	n.incarnations.noteStart(e.newest, now)
+	a := &n.incarnations.availability
+	leaves := v.Leaving && a.leaving.of(n) != said
+	if v.Leaving {
+		a.leaving = a.leaving.merge(e)
+	}
+	pauses := v.Pause > 0 && (n.pause() == nil || now.Add(v.Pause).After(a.pausedUntil))
 	if pauses {
-		a.pausedUntil, a.resumed = now.Add(v.Pause), 0
+		a.paused, a.pausedUntil, a.resumed = a.paused.merge(e), now.Add(v.Pause), 0
 	}
 	if !leaves && !pauses {
 		return
@@ -125,46 +151,6 @@
 	d.refuseUnavailable(p, now)
 }
 
-// availabilityOf returns the availability of the node's process, which may have left the
-// list since the node was chosen.
-func (d *Dispatcher) availabilityOf(p *pool, n *node) *availability {
-	k := processOf(&n.Endpoint)
-	a := d.availability[k]
-	if a == nil {
-		if d.availability == nil {
-			d.availability = make(map[process]*availability)
-		}
-		a = &availability{}
-		d.availability[k] = a
-	}
-	n.availability = a
-	if listed := p.nodes[n.ID]; listed != nil && processOf(&listed.Endpoint) == k {
-		listed.availability = a
-	}
-	return a
-}
-
-// updateAvailability sets what the processes of the pool's endpoints have said.
-func (d *Dispatcher) updateAvailability(p *pool, now time.Time) {
-	if len(d.availability) == 0 {
-		return
-	}
-	for _, n := range p.nodes {
-		if n.availability = d.availability[processOf(&n.Endpoint)]; n.availability != nil {
-			n.availability.heardAt = now
-		}
-	}
-}
-
-// forgetAvailability drops the processes that the list has lacked for long.
-func (d *Dispatcher) forgetAvailability(now time.Time) {
-	for k, a := range d.availability {
-		if now.Sub(a.heardAt) > availabilityRetention {
-			delete(d.availability, k)
-		}
-	}
-}
-
 // Available returns the error with which Acquire refuses the request at once because all
 // endpoints that may serve it leave or are paused, or nil. The error is of type *Error.
 func (d *Dispatcher) Available(r Request) error {
@@ -255,7 +241,7 @@
 	}
 	now := d.now()
 	n := l.pool.nodes[l.Endpoint.ID]
-	if n == nil || processOf(&n.Endpoint) != processOf(&l.Endpoint) {
+	if n == nil || locationOf(&n.Endpoint) != locationOf(&l.Endpoint) || !n.Started.Equal(l.Endpoint.Started) {
 		return true
 	}
 	return n.isPaused(now) || !d.isAllowed(l.pool, n, l.request, now)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -46,6 +46,9 @@
 	// Noticed is called, with a lock held, when an endpoint says that it leaves or pauses; it
 	// may be nil and must not block.
 	Noticed func(e observer.Endpoint, v Notice, from NoticeSource)
+	// Replaced is called, with a lock held, when an endpoint that counted as leaving turns out to be
+	// another process; it may be nil and must not block.
+	Replaced func(e observer.Endpoint)
 	// Withheld is called, with a lock held, when slots of a service begin to be kept from less
 	// urgent requests that could use them, with their number, and when that has ended; it may be
 	// nil and must not block.
@@ -95,9 +98,11 @@
 	listed bool
 	// stampBase is the time from which time stamps of demands are counted.
 	stampBase time.Time
-	// availability holds what processes of endpoints have said about the requests that they
-	// want. It alone decides that, beside the endpoint list.
-	availability map[process]*availability
+	// incarnations holds what is known of the processes at each location, and what they have said
+	// about the requests that they want. It alone decides that, beside the endpoint list.
+	incarnations map[location]*incarnations
+	// forgotAt is when locations that the list has lacked for long were last looked for.
+	forgotAt time.Time
 }
 
 // Request describes a request that needs an endpoint.
@@ -179,7 +184,7 @@
 			d.updatePool(p, s)
 		}
 		d.updateNodes(p, s, list, evacuated)
-		d.updateAvailability(p, now)
+		d.updateIncarnations(p, now)
 		for _, n := range p.nodes {
 			n.setNewestStart(starts[n.Address])
 		}
@@ -193,7 +198,7 @@
 		overdue = append(overdue, d.takeOverdue(p, now)...)
 	}
 	d.listed = true
-	d.forgetAvailability(now)
+	d.forgetIncarnations(now)
 	return overdue
 }
 
@@ -265,6 +270,9 @@
 		for _, n := range nodes {
 			if !n.isReporter(r, listed) {
 				d.noteStart(n, r, listed)
+				if r.Leaving && r.Started.After(n.Started) {
+					d.noteReportedLeaving(p, n, r)
+				}
 				continue
 			}
 			if r.Versions[p.model] != n.report.Versions[p.model] {
@@ -280,7 +288,7 @@
 			}
 			d.takeOffer(p, n, r)
 			if r.Leaving {
-				d.note(p, n, Notice{Leaving: true}, FromReport)
+				d.noteReportedLeaving(p, n, r)
 			}
 		}
 		d.grant(p)
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -139,6 +139,10 @@
 		w.report(f)
 	case "notice":
 		w.notice(f)
+	case "check":
+		return w.check(f)
+	case "store-fails":
+		w.state.ListFailed()
 	case "send":
 		return w.send(f)
 	case "begun":
@@ -197,6 +201,20 @@
 	w.d.Notice(w.leases[f[1]][0], n)
 }
 
+// check silent|ready|leaving is what the processes answer that are asked whether they leave. It returns the
+// endpoints that are asked.
+func (w *harness) check(f []string) string {
+	var out []string
+	for _, e := range w.d.LeavingChecks() {
+		out = append(out, e.ID)
+		if f[1] != "silent" {
+			w.d.NoteLeavingCheck(e, f[1] == "leaving")
+		}
+	}
+	slices.Sort(out)
+	return "asked " + strings.Join(out, " ")
+}
+
 // send N [home=REGION] [prompt=N] [not=ID] [resumed] sends requests that don't wait, and
 // counts where they went.
 func (w *harness) send(f []string) string {
@@ -323,6 +341,14 @@
 	return ""
 }
 
+// The scripts guard against requests to a process that has said that it leaves or pauses once the list
+// learns of its start, and against a sound process that gets none because an earlier one said so.
+func TestIncarnations(t *testing.T) {
+	datadriven.RunTest(t, "testdata/incarnations", func(_ *testing.T, d *datadriven.TestData) string {
+		return newHarness().runScript(d.Input)
+	})
+}
+
 // The scripts guard against requests to endpoints that are draining, in an evacuated
 // failure domain, cold beyond their rate, of an older version, outside the request's
 // allowed regions, or full.
--- a/dispatcher/lease.go
+++ b/dispatcher/lease.go
@@ -30,6 +30,10 @@
 	// Expected is the number of events that the answer is expected to have; 0 if it isn't known.
 	Expected float64
 
+	// newestStart is the latest start of a process at the endpoint's location that was known when the
+	// lease was given.
+	newestStart time.Time
+
 	d       *Dispatcher
 	pool    *pool
 	node    *node
@@ -93,8 +97,12 @@
 	p.reserve.take(r.Match.Rank(), now)
 	p.assigned = append(trim(p.assigned, now), now)
 	n.hold(l)
+	l.newestStart = n.Started
+	if n.incarnations != nil {
+		l.newestStart = n.incarnations.newest
+	}
 	if n.isResuming(now) {
-		n.availability.resumed++
+		n.pause().resumed++
 	}
 	if !now.After(n.coldUntil) {
 		n.coldSent = append(n.coldSent, now)
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -97,8 +97,12 @@
 	respondedAt time.Time
 
 	begins beginDelays
-	// availability is nil unless the endpoint's process has said that it leaves or pauses.
-	availability *availability
+	// incarnations is what is known of the processes at the location of the endpoint; nil before the
+	// first update of the list.
+	incarnations *incarnations
+	// readySince is since when the list has named the process as ready without an outage of the
+	// platform; the zero time if it doesn't.
+	readySince time.Time
 
 	// preferred reports whether this gateway is a sharer of the endpoint; ranked, whether
 	// that has been determined.
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -151,6 +151,7 @@
 		m.observeNotice(e, v)
 		logNotice(g.Log, e, v, from)
 	}
+	g.dispatcher.Replaced = func(e observer.Endpoint) { logReplaced(g.Log, e) }
 	g.dispatcher.Withheld = func(service string, slots float64, began bool) { logWithheld(g.Log, service, slots, began) }
 	g.dispatcher.PaceChanged = func(c dispatcher.PaceChange) { logPace(g.Log, c) }
 	g.dispatcher.LengthsKnown = func(k dispatcher.LengthsKnown) { logLengths(g.Log, k) }
@@ -168,6 +169,7 @@
 	e.Go(func() error { return g.holds.run(work) })
 	e.Go(func() error { return g.restorer().run(work) })
 	e.Go(func() error { return g.announce(work) })
+	e.Go(func() error { return g.checkLeaving(work) })
 	servers, err := g.serve(ctx, e)
 	if err != nil {
 		return err
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -195,7 +195,7 @@
 
 // logNotice logs that an endpoint leaves or pauses, and how the gateway learned of it.
 func logNotice(l zerolog.Logger, e observer.Endpoint, v dispatcher.Notice, from dispatcher.NoticeSource) {
-	i := l.Info().Str("endpoint", e.ID).Str("address", e.Address.String()).Str("source", string(from))
+	i := l.Info().Str("endpoint", e.ID).Str("address", e.Address.String()).Time("started", e.Started).Str("source", string(from))
 	if v.Leaving {
 		i.Msg("endpoint-leaving")
 		return
@@ -203,6 +203,11 @@
 	i.Dur("pause-ms", v.Pause).Msg("endpoint-paused")
 }
 
+// logReplaced logs that the process of an endpoint doesn't leave, unlike the one before it.
+func logReplaced(l zerolog.Logger, e observer.Endpoint) {
+	l.Info().Str("endpoint", e.ID).Str("address", e.Address.String()).Time("started", e.Started).Msg("endpoint-replaced")
+}
+
 func (m *metrics) observe(r forwarder.Result) {
 	ctx := context.Background()
 	service := attribute.String("service", r.Service)
--- a/observer/endpoints.go
+++ b/observer/endpoints.go
@@ -21,6 +21,13 @@
 	s.lastListFailure, s.listUnavailable = s.Now(), true
 }
 
+// IsListAvailable reports whether the last read of the list of endpoints from the platform succeeded.
+func (s *State) IsListAvailable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.listUnavailable
+}
+
 // ApplyEndpoints applies new entries of the list; first reports whether they come from
 // the first source. During an outage of the first source, up to and including its first
 // response, an entry may have been deleted because it expired without a chance to be
