--- a/connector/table.go
+++ b/connector/table.go
@@ -108,6 +108,14 @@
 	Active, Queued int
 }
 
+// ProcessState is what the process at an address says of itself.
+type ProcessState struct {
+	// Started is when it started; the zero time if it doesn't say so.
+	Started time.Time
+	// Leaving reports whether it is about to end.
+	Leaving bool
+}
+
 // Pieces is a client of the origin of weights that are split into numbered pieces.
 type Pieces struct {
 	// Manifest returns the SHA-256 digests of the pieces of a version.
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
+	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/header"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/receiver"
@@ -53,6 +55,9 @@
 	// DecodeNotice decodes what a response says about the requests that its endpoint wants.
 	// Its result is used also beside an error. It may be nil.
 	DecodeNotice func(status int, h http.Header) (dispatcher.Notice, error)
+	// AskProcess asks the process at the address for its state. If it is nil, a process at an address that
+	// accepts connections counts as the one that was there before.
+	AskProcess func(ctx context.Context, a netip.AddrPort) (connector.ProcessState, error)
 	// Table returns the current routing table, or nil if no configuration is known.
 	Table  func() *resolver.Table
 	Budget Budget
--- a/forwarder/isolate.go
+++ b/forwarder/isolate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -228,20 +227,6 @@
 	return v.(bool)
 }
 
-// errProcessEnded ends an attempt whose response ended with the process of its endpoint.
-var errProcessEnded = errors.Wrap(io.ErrUnexpectedEOF, "the process has ended")
-
-// isCutByEnd reports whether a response that was read to its end may have been cut off there: it
-// has neither a length nor chunks, so it ends with its connection, and the process that sent it
-// has ended.
-func (a *attempt) isCutByEnd() bool {
-	r := a.response
-	if r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || a.call.method == http.MethodHead {
-		return false
-	}
-	return a.call.handler.hasEnded(a.lease.Endpoint.Address)
-}
-
 // EndHeld ends the attempts of the requests with the suspect whose answers haven't begun, as their
 // endpoints would end when they begin. It doesn't call the Isolator.
 func (f *Handler) EndHeld(d isolator.Digest) {
--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -59,7 +59,9 @@
 // connection is a connection to an endpoint.
 type connection struct {
 	net.Conn
-	r         *bufio.Reader
+	r *bufio.Reader
+	// madeAt is when the connection had been made.
+	madeAt    time.Time
 	idleUntil time.Time
 	// readLimited reports whether at most readRemaining more bytes may be read.
 	readLimited   bool
@@ -122,7 +124,7 @@
 	if err != nil {
 		return nil, &Error{Op: "connect to " + a.String(), Kind: classifier.Unavailable, Err: err}
 	}
-	made := &connection{Conn: c}
+	made := &connection{Conn: c, madeAt: time.Now()}
 	made.r = bufio.NewReaderSize(made, bufferSize)
 	return made, nil
 }
--- a/internal/direct/gateway.go
+++ b/internal/direct/gateway.go
@@ -213,7 +213,7 @@
 		IsCurrent: g.isCurrent, Outdated: g.follower.listOutdated,
 	}
 	g.front = &forwarder.Handler{
-		Headers: g.Platform.Headers, Dispatcher: g.dispatcher, Transport: &forwarder.Transport{}, DecodeNotice: g.Platform.DecodeNotice,
+		Headers: g.Platform.Headers, Dispatcher: g.dispatcher, Transport: &forwarder.Transport{}, DecodeNotice: g.Platform.DecodeNotice, AskProcess: g.newAsker(),
 		Table: func() *resolver.Table { return g.follower.state.Table() }, Log: g.Log,
 		Budget: forwarder.Budget{Share: g.RetryRatio * retryShare, Burst: g.retryBurst},
 	}
--- a/internal/direct/platform.go
+++ b/internal/direct/platform.go
@@ -30,8 +30,8 @@
 	Headers       forwarder.Headers
 	// DecodeNotice decodes what a response says about the requests that its endpoint wants.
 	DecodeNotice func(status int, h http.Header) (dispatcher.Notice, error)
-	// IsLeaving asks the process at the address whether it leaves.
-	IsLeaving func(ctx context.Context, a netip.AddrPort, c *http.Client) (bool, error)
+	// AskProcess asks the process at the address for its state.
+	AskProcess func(ctx context.Context, a netip.AddrPort, c *http.Client) (connector.ProcessState, error)
 	// ReadyPath is the URL path of the load balancer's readiness check.
 	ReadyPath string
 	// Replica returns a client of the engine at the address.
