--- a/dispatcher/incarnation.go
+++ b/dispatcher/incarnation.go
@@ -150,7 +150,7 @@
 			n.readySince = now
 		}
 		if e := &v.availability.leaving; e.of(n) == maybeSaid && n.isTrusted(e.heardAt, now) {
-			d.clear(p, n)
+			d.clear(n)
 		}
 	}
 }
@@ -162,12 +162,11 @@
 }
 
 // clear records that the process of the node doesn't leave.
-func (d *Dispatcher) clear(p *pool, n *node) {
+func (d *Dispatcher) clear(n *node) {
 	n.incarnations.availability.leaving.cleared = n.Started
 	if d.Replaced != nil {
 		d.Replaced(n.Endpoint)
 	}
-	d.grant(p)
 }
 
 // forgetIncarnations drops the locations that the list has lacked for long.
@@ -217,7 +216,8 @@
 		return
 	}
 	if !leaving {
-		d.clear(p, n)
+		d.clear(n)
+		d.grant(p)
 		return
 	}
 	n.incarnations.availability.leaving.confirm(n, d.now())
