--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -270,7 +270,7 @@
 		for _, n := range nodes {
 			if !n.isReporter(r, listed) {
 				d.noteStart(n, r, listed)
-				if r.Leaving && r.Started.After(n.Started) {
+				if r.Leaving && !listed && r.Started.After(n.Started) {
 					d.noteReportedLeaving(p, n, r)
 				}
 				continue
--- a/dispatcher/incarnation.go
+++ b/dispatcher/incarnation.go
@@ -14,9 +14,9 @@
 // have said that it leaves, that one is asked.
 
 const (
-	// maxStartSkew is the difference up to which the start of a process and the time of a response
-	// don't tell which was first, as the clocks of instances differ.
-	maxStartSkew = 2 * time.Second
+	// MaxStartSkew is the difference up to which the start of a process and the time of a response or
+	// connection don't tell which was first, as the clocks of instances differ.
+	MaxStartSkew = 2 * time.Second
 	// leavingCheckInterval is the pause before a process is asked again that hasn't answered.
 	leavingCheckInterval = 300 * time.Millisecond
 	// trustTime is how long the list has to name a process as ready, with the platform available,
@@ -72,7 +72,7 @@
 	case n.Started.Before(e.newest), n.hasFutureStart():
 		// The store has returned from an older copy, or the entry is another writer's.
 		return maybeSaid
-	case e.isExact, n.Started.After(e.heardAt.Add(maxStartSkew)):
+	case e.isExact, n.Started.After(e.heardAt.Add(MaxStartSkew)):
 		return saidByOther
 	}
 	return maybeSaid
--- a/forwarder/process_end.go
+++ b/forwarder/process_end.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/dispatcher"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 )
 
@@ -20,9 +21,6 @@
 	askTime    = 2500 * time.Millisecond
 	// askRetryDelay is the pause after a question without an answer.
 	askRetryDelay = 100 * time.Millisecond
-	// maxClockSkew is the difference up to which the start of a process and the time of a connection don't
-	// tell which was first, as the clocks of instances differ.
-	maxClockSkew = 2 * time.Second
 )
 
 // errProcessEnded ends an attempt whose response ended with the process of its endpoint, or whose
@@ -66,5 +64,5 @@
 // isSameProcess reports whether the process in the state is the one that sent the response. The list
 // may not have known that one. A process that states no start counts as the same.
 func (a *attempt) isSameProcess(s connector.ProcessState) bool {
-	return s.Started.IsZero() || s.Started.Equal(a.lease.Endpoint.Started) || s.Started.Before(a.conn.madeAt.Add(-maxClockSkew))
+	return s.Started.IsZero() || s.Started.Equal(a.lease.Endpoint.Started) || s.Started.Before(a.conn.madeAt.Add(-dispatcher.MaxStartSkew))
 }
