--- a/forwarder/isolate.go
+++ b/forwarder/isolate.go
@@ -143,6 +143,10 @@
 // endTrial ends the trial, if the call is one. It is returned if the request wasn't run.
 func (c *call) endTrial(ran bool) {
 	trial := c.trial
+	if trial == nil {
+		// A superseded attempt of the call may still read the field. A trial has only one attempt.
+		return
+	}
 	c.trial = nil
 	if ran || c.handler.ReturnTrial == nil {
 		return
