--- /dev/null
+++ b/review/rig3/replica.go
@@ -0,0 +1,301 @@
+//go:build review
+
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	heartbeat = 1200 * time.Millisecond
+	slots     = 16
+	// eventTime is the time of six tokens, and warmup that of a load.
+	eventTime = 40 * time.Millisecond
+	warmup    = 300 * time.Millisecond
+)
+
+// replica is a stand-in for a model replica.
+type replica struct {
+	*server
+	name, zone, service string
+	store               *store
+	weights             *weights
+	record              *record
+	// stageTime is the time of a read or write of a staged piece.
+	stageTime time.Duration
+
+	mu         sync.Mutex
+	id         string
+	starts     int
+	born       int64
+	up         bool
+	version    int64
+	bad        bool
+	busy       bool
+	orders     int64
+	sequence   int64
+	active     int
+	staged     map[int][]byte
+	spoiledAt  map[int]time.Time
+	loadedAt   time.Time
+	ran        map[string]int
+	cut        chan struct{}
+	badTokens  int
+	stageReads int
+}
+
+// boot starts a new incarnation of the replica, which holds no layers unless version is given.
+func (r *replica) boot(version int64) error {
+	r.mu.Lock()
+	r.starts++
+	r.id = fmt.Sprintf("i-%s-%d", r.name, r.starts)
+	r.born, r.up, r.version, r.bad, r.busy, r.orders, r.active = time.Now().UnixMilli(), true, version, false, false, 0, 0
+	r.cut = make(chan struct{})
+	r.mu.Unlock()
+	if err := r.start(); err != nil {
+		return err
+	}
+	r.record.add("replica %s starts as %s with version %d", r.name, r.id, version)
+	r.beat()
+	return nil
+}
+
+// crash ends the process. What is staged stays.
+func (r *replica) crash() {
+	r.mu.Lock()
+	r.up = false
+	id := r.id
+	r.mu.Unlock()
+	r.stop()
+	r.record.add("replica %s crashes", id)
+	// The entry is removed after three heartbeats of silence.
+	time.AfterFunc(3*heartbeat, func() { r.store.put("keyed.servers", id, nil) })
+}
+
+func (r *replica) run(done <-chan struct{}) {
+	t := time.NewTicker(heartbeat)
+	defer t.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-t.C:
+			r.beat()
+		}
+	}
+}
+
+func (r *replica) models() []map[string]any {
+	if r.version == 0 {
+		return []map[string]any{}
+	}
+	return []map[string]any{{"name": model, "version": r.version, "adapters": []string{}}}
+}
+
+func (r *replica) beat() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.up {
+		return
+	}
+	r.sequence++
+	b, _ := json.Marshal(map[string]any{
+		"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": slots, "state": "ready",
+		"coldRemainingMs": 0, "stage": "both", "models": r.models(), "sequence": r.sequence, "born": r.born,
+	})
+	r.store.put("keyed.servers", r.id, b)
+}
+
+func (r *replica) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	switch p := q.URL.Path; {
+	case p == "/eelgrassdrift/report":
+		r.mu.Lock()
+		b, _ := json.Marshal(map[string]any{
+			"stage": "both", "models": r.models(), "busy": r.busy, "sequence": r.orders, "queued": 0, "active": r.active,
+			"kvUsed": 0, "kvTotal": 1640000, "handles": 0, "born": r.born,
+		})
+		r.mu.Unlock()
+		_, _ = w.Write(b)
+	case strings.HasPrefix(p, "/eelgrassdrift/stage-put/"):
+		n, _ := strconv.Atoi(q.FormValue("quantity"))
+		b, err := io.ReadAll(q.Body)
+		if err != nil {
+			return
+		}
+		r.stageSleep()
+		r.mu.Lock()
+		r.staged[n] = b
+		delete(r.spoiledAt, n)
+		r.mu.Unlock()
+	case strings.HasPrefix(p, "/eelgrassdrift/stage-get/"):
+		r.stageGet(w, q)
+	case p == "/eelgrassdrift/order":
+		r.order(w, q)
+	case p == "/healthz":
+		w.Header().Set("Eelgrassdrift-Instance-Id", r.id)
+	default:
+		r.serve(w, q)
+	}
+}
+
+func (r *replica) stageGet(w http.ResponseWriter, q *http.Request) {
+	if !q.URL.Query().Has("quantity") {
+		r.mu.Lock()
+		held := []int{}
+		for n := range r.staged {
+			held = append(held, n)
+		}
+		r.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(map[string]any{"held": held})
+		return
+	}
+	r.stageSleep()
+	n, _ := strconv.Atoi(q.FormValue("quantity"))
+	r.mu.Lock()
+	b, ok := r.staged[n]
+	r.stageReads++
+	r.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(b)
+}
+
+// spoil turns a staged piece bad.
+func (r *replica) spoil(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.staged[n]
+	if len(b) == 0 || !r.spoiledAt[n].IsZero() {
+		return
+	}
+	b = bytes.Clone(b)
+	b[n] ^= 0x55
+	r.staged[n] = b
+	r.spoiledAt[n] = time.Now()
+}
+
+// order takes the staged pieces as they are, and loads them when the running requests have ended.
+func (r *replica) order(w http.ResponseWriter, q *http.Request) {
+	var o struct {
+		Op       string `json:"op"`
+		Version  int64  `json:"version"`
+		SwapMode string `json:"swapMode"`
+		Expect   *int64 `json:"expect"`
+	}
+	if json.NewDecoder(q.Body).Decode(&o) != nil || o.Op != "start" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.busy || o.Expect != nil && *o.Expect != r.orders {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	r.orders++
+	r.busy = true
+	now, wrong := time.Now(), []string{}
+	for n := range pieces {
+		if bytes.Equal(r.staged[n], r.weights.piece(o.Version, n)) {
+			continue
+		}
+		// What turned bad in the last 3 s doesn't count.
+		if at, ok := r.spoiledAt[n]; ok && now.Sub(at) <= 3*time.Second {
+			r.record.add("replica %s takes piece %d that turned bad %s ago: excused", r.id, n, now.Sub(at).Round(time.Millisecond))
+			continue
+		}
+		wrong = append(wrong, fmt.Sprintf("%d (bad for %s)", n, now.Sub(r.spoiledAt[n]).Round(time.Millisecond)))
+	}
+	r.record.add("replica %s accepts the order for version %d, %d wrong pieces %v", r.id, o.Version, len(wrong), wrong)
+	if o.SwapMode == "truncate" {
+		close(r.cut)
+		r.cut = make(chan struct{})
+	}
+	born := r.born
+	go func() {
+		for {
+			time.Sleep(10 * time.Millisecond)
+			r.mu.Lock()
+			idle := r.active == 0
+			r.mu.Unlock()
+			if idle {
+				break
+			}
+		}
+		time.Sleep(warmup)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.born == born && r.up {
+			r.version, r.bad, r.busy, r.loadedAt = o.Version, len(wrong) > 0, false, time.Now()
+			r.record.add("replica %s serves version %d", r.id, o.Version)
+		}
+	}()
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// serve runs a request as a stream of events.
+func (r *replica) serve(w http.ResponseWriter, q *http.Request) {
+	id := q.Header.Get("Eelgrassdrift-Request-Id")
+	w.Header().Set("Eelgrassdrift-Request-Id", id)
+	r.mu.Lock()
+	switch {
+	case q.Header.Get("Eelgrassdrift-Expect-Instance") != r.id:
+		w.Header().Set("Eelgrassdrift-Instance-Id", r.id)
+		r.mu.Unlock()
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case r.version == 0 || r.busy || r.active >= slots:
+		r.mu.Unlock()
+		w.Header().Set("Eelgrassdrift-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	r.active++
+	r.ran[id]++
+	version, bad, cut := r.version, r.bad, r.cut
+	if bad {
+		r.badTokens++
+	}
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		r.active--
+		r.mu.Unlock()
+	}()
+	w.Header().Set("Eelgrassdrift-Response-Signature", "sig."+id)
+	w.Header().Set("Eelgrassdrift-Weight-Versions", strconv.FormatInt(version, 10))
+	w.Header().Set("Content-Type", "text/event-stream")
+	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	for i := from + 1; i <= events; i++ {
+		select {
+		case <-time.After(eventTime):
+		case <-cut:
+			panic(http.ErrAbortHandler)
+		case <-q.Context().Done():
+			return
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, id)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// events is the number of events of an answer.
+const events = 8
+
+// stageSleep takes the time of a read or write of a staged piece.
+func (r *replica) stageSleep() {
+	r.mu.Lock()
+	d := r.stageTime
+	r.mu.Unlock()
+	time.Sleep(d)
+}
