--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -39,12 +39,16 @@
 
 const service, host, prefix, key = "assistant", "jepu9.example", "/lepu270/", "jnbanfqasnmgkcuyj8pj"
 
+// The plain service of a small deployment.
+const plainService, plainHost, plainPrefix = "booking", "voka93.example", "/filo73/"
+
 // fleet is a small deployment: a gateway, an agent and a replica in each zone.
 type fleet struct {
 	record   *record
 	store    *store
 	weights  *weights
 	replicas []*replica
+	plain    []*plainReplica
 	fronts   []string
 	readies  []string
 	dir      string
@@ -53,6 +57,10 @@
 	procs    []*exec.Cmd
 	servers  []*server
 	config   map[string]any
+	// start starts the gateways and agents, and otherOrigin is an address for a second origin.
+	start       func() error
+	origin      *server
+	otherOrigin string
 }
 
 // ports finds ports that are free at all addresses.
@@ -87,9 +95,9 @@
 	f := &fleet{record: rec, store: newStore(), weights: w, dir: dir, done: make(chan struct{})}
 	ips := []string{"127.81.0.1"}
 	for _, z := range zones {
-		ips = append(ips, z.net+".1", z.net+".2")
+		ips = append(ips, z.net+".1", z.net+".2", z.net+".3")
 	}
-	p, err := ports(7, ips)
+	p, err := ports(8, ips)
 	if err != nil {
 		return nil, err
 	}
@@ -101,12 +109,19 @@
 			return nil, err
 		}
 		f.servers = append(f.servers, s)
+		if a == originAddress {
+			f.origin = s
+		}
 	}
+	f.otherOrigin = fmt.Sprintf("127.81.0.1:%d", p[7])
 	f.config = map[string]any{
 		"version": 7,
 		"routes": []map[string]any{{
 			"name": "r-1", "hostname": host, "pathPrefix": prefix, "routeType": "streaming", "timeoutMs": 6000, "targetLatencyMs": 400, "priority": 1,
 			"service": service, "maxAttempts": 2, "public": false, "sticky": true, "resumable": true, "targetGapMs": 300, "allowedRegions": []string{},
+		}, {
+			"name": "r-2", "hostname": plainHost, "pathPrefix": plainPrefix, "routeType": "non_idempotent", "timeoutMs": 1000, "targetLatencyMs": 150, "priority": 2,
+			"service": plainService, "maxAttempts": 1, "public": false, "sticky": false, "resumable": false, "targetGapMs": 0, "allowedRegions": []string{},
 		}},
 		"services": []map[string]any{
 			{
@@ -117,6 +132,7 @@
 					"report_lag_ms": 200.0, "usual": map[string]int{"prompt": 964, "answer": 119}, "layers": 16, "layer_mb": 4540.0, "chunks": pieces, "chunkBytes": pieceSize,
 				},
 			},
+			{"name": plainService, "healthPath": "/healthz", "maxConnections": 110, "protocol": "h1", "tls": false, "coldS": 0.0, "coldPerS": 0.0},
 			{"name": "ledger", "origin": originAddress, "zone": "mansoura", "linkMbps": 7.3, "maxConnections": 48},
 		},
 		"limits":  map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
@@ -128,7 +144,7 @@
 		regions = append(regions, z.name+"="+z.region)
 		seeds = append(seeds, fmt.Sprintf("%s.1:%d", z.net, control))
 	}
-	for i, z := range zones {
+	for _, z := range zones {
 		gw, side := z.net+".1", z.net+".2"
 		f.fronts = append(f.fronts, fmt.Sprintf("%s:%d", gw, front))
 		f.readies = append(f.readies, fmt.Sprintf("%s:%d", gw, ready))
@@ -145,24 +161,39 @@
 		}
 		go r.run(f.done)
 		f.replicas = append(f.replicas, r)
-		err := f.command("edge-"+z.name+"-1", []string{"EELGRASS_MEMORY_MB=544", "EELGRASS_LINK_MBPS=2000.0", "EELGRASS_HALF_OPEN=mixed"},
-			"target/eelgrass-gateway", "direct", "--name=edge-"+z.name+"-1", "--failure-domain="+z.name, "--regions="+strings.Join(regions, ","),
-			"--front="+f.fronts[i], "--ready="+f.readies[i], fmt.Sprintf("--peers=%s:%d", gw, control), "--seeds="+strings.Join(seeds, ","),
-			fmt.Sprintf("--metrics=%s:%d", gw, metrics), "--store="+storeAddress, "--cold-factor=1.5", "--cold-slack=5", "--retry-ratio=0.2",
-			"--retry-extra=106", "--drain-ms=2000", "--stop-seconds=8", "--version-ms=8000", "--descriptors=8200")
-		if err != nil {
+		b := &plainReplica{id: "i-booking-" + z.name, zone: z.name, store: f.store, born: time.Now().UnixMilli(), ran: make(map[string]int)}
+		b.server = &server{address: fmt.Sprintf("%s.3:%d", z.net, app), handler: b}
+		if err := b.start(); err != nil {
 			return nil, err
 		}
-		err = f.command("side-"+z.name+"-1", []string{"EELGRASS_MEMORY_MB=152", "EELGRASS_LEND_COLD_RATE=ranked"},
-			"target/eelgrass-agent", "direct", "--name=side-"+z.name+"-1", "--failure-domain="+z.name, "--regions="+strings.Join(regions, ","),
-			"--engine="+r.address, "--service="+service, fmt.Sprintf("--peers=%s:%d", side, peers), "--seeds="+strings.Join(seeds, ","),
-			fmt.Sprintf("--metrics=%s:%d", side, metrics), "--store="+storeAddress, "--link-mbps=7.3", "--region-mbps=20", "--cold-factor=1.5",
-			"--cold-slack=5", "--version-ms=8000", "--descriptors=2048")
-		if err != nil {
-			return nil, err
+		f.servers = append(f.servers, b.server)
+		rec.add("plain replica %s starts", b.id)
+		go b.run(f.done)
+		f.plain = append(f.plain, b)
+	}
+	f.start = func() error {
+		for i, z := range zones {
+			gw, side, r := z.net+".1", z.net+".2", f.replicas[i]
+			err := f.command("edge-"+z.name+"-1", []string{"EELGRASS_MEMORY_MB=544", "EELGRASS_LINK_MBPS=2000.0", "EELGRASS_HALF_OPEN=mixed"},
+				"target/eelgrass-gateway", "direct", "--name=edge-"+z.name+"-1", "--failure-domain="+z.name, "--regions="+strings.Join(regions, ","),
+				"--front="+f.fronts[i], "--ready="+f.readies[i], fmt.Sprintf("--peers=%s:%d", gw, control), "--seeds="+strings.Join(seeds, ","),
+				fmt.Sprintf("--metrics=%s:%d", gw, metrics), "--store="+storeAddress, "--cold-factor=1.5", "--cold-slack=5", "--retry-ratio=0.2",
+				"--retry-extra=106", "--drain-ms=2000", "--stop-seconds=8", "--version-ms=8000", "--descriptors=8200")
+			if err != nil {
+				return err
+			}
+			err = f.command("side-"+z.name+"-1", []string{"EELGRASS_MEMORY_MB=152", "EELGRASS_LEND_COLD_RATE=ranked"},
+				"target/eelgrass-agent", "direct", "--name=side-"+z.name+"-1", "--failure-domain="+z.name, "--regions="+strings.Join(regions, ","),
+				"--engine="+r.address, "--service="+service, fmt.Sprintf("--peers=%s:%d", side, peers), "--seeds="+strings.Join(seeds, ","),
+				fmt.Sprintf("--metrics=%s:%d", side, metrics), "--store="+storeAddress, "--link-mbps=7.3", "--region-mbps=20", "--cold-factor=1.5",
+				"--cold-slack=5", "--version-ms=8000", "--descriptors=2048")
+			if err != nil {
+				return err
+			}
 		}
+		return nil
 	}
-	return f, nil
+	return f, f.start()
 }
 
 func (f *fleet) putConfig() {
@@ -179,7 +210,7 @@
 
 // command starts a program, whose output goes to a file in the temporary folder.
 func (f *fleet) command(name string, env []string, program string, arguments ...string) error {
-	out, err := os.Create(filepath.Join(f.dir, name+".log"))
+	out, err := os.OpenFile(filepath.Join(f.dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
 	}
@@ -197,6 +228,17 @@
 	return nil
 }
 
+// kill ends the gateways and agents.
+func (f *fleet) kill() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.procs {
+		_ = c.Process.Kill()
+		_ = c.Wait()
+	}
+	f.procs = nil
+}
+
 // logLines returns the lines of a program's output that hold all words.
 func (f *fleet) logLines(name string, words ...string) (l []string) {
 	b, err := os.Open(filepath.Join(f.dir, name+".log"))
@@ -221,10 +263,7 @@
 // end ends all processes that the case started.
 func (f *fleet) end() {
 	close(f.done)
-	for _, c := range f.procs {
-		_ = c.Process.Kill()
-		_ = c.Wait()
-	}
+	f.kill()
 	for _, r := range f.replicas {
 		r.stop()
 	}
@@ -277,6 +316,11 @@
 
 // clients sends requests at a rate to the gateways in turn until done, and returns their results.
 func (f *fleet) clients(rate float64, done <-chan struct{}) []result {
+	return f.load(rate, done, f.send)
+}
+
+// load does the same with a function that sends a request to a gateway.
+func (f *fleet) load(rate float64, done <-chan struct{}, send func(front, id string) result) []result {
 	var mu sync.Mutex
 	var all []result
 	var w sync.WaitGroup
@@ -293,7 +337,7 @@
 		go func() {
 			defer w.Done()
 			id := fmt.Sprintf("%016x", rand.Uint64())
-			r := f.send(f.fronts[n%len(f.fronts)], id)
+			r := send(f.fronts[n%len(f.fronts)], id)
 			f.record.add("request %s sent %.3f: %s", id, r.sent.Sub(f.record.began).Seconds(), r.outcome)
 			mu.Lock()
 			all = append(all, r)
--- a/review/rig3/replica.go
+++ b/review/rig3/replica.go
@@ -299,3 +299,10 @@
 	r.mu.Unlock()
 	time.Sleep(d)
 }
+
+// losePower loses what is staged.
+func (r *replica) losePower() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.staged, r.spoiledAt = make(map[int][]byte), make(map[int]time.Time)
+}
