--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -150,7 +150,7 @@
 		f.readies = append(f.readies, fmt.Sprintf("%s:%d", gw, ready))
 		r := &replica{
 			name: z.name, zone: z.name, service: service, store: f.store, weights: w, record: rec, stageTime: stageTime,
-			staged: make(map[int][]byte), spoiledAt: make(map[int]time.Time), ran: make(map[string]int),
+			staged: make(map[int][]byte), spoiledAt: make(map[int]time.Time), ran: make(map[string]int), begun: make(map[string]bool),
 		}
 		r.server = &server{address: fmt.Sprintf("%s:%d", side, app), handler: r}
 		for n := range pieces {
@@ -309,6 +309,7 @@
 
 // result is that of a client's attempt.
 type result struct {
+	id      string
 	sent    time.Time
 	served  bool
 	outcome string
@@ -338,6 +339,7 @@
 			defer w.Done()
 			id := fmt.Sprintf("%016x", rand.Uint64())
 			r := send(f.fronts[n%len(f.fronts)], id)
+			r.id = id
 			f.record.add("request %s sent %.3f: %s", id, r.sent.Sub(f.record.began).Seconds(), r.outcome)
 			mu.Lock()
 			all = append(all, r)
@@ -347,11 +349,16 @@
 }
 
 func (f *fleet) send(front, id string) result {
+	return f.sendPrompt(front, id, "5c1e07a2:40,"+id[:8]+":60")
+}
+
+// sendPrompt sends a request with the parts of a prompt.
+func (f *fleet) sendPrompt(front, id, prompt string) result {
 	v := result{sent: time.Now()}
 	q, _ := http.NewRequest(http.MethodPost, "http://"+front+prefix+"2f", strings.NewReader("{}"))
 	q.Host = host
 	for k, x := range map[string]string{
-		"Request-Id": id, "Model": model, "Token-Count": "100,48", "Prompt-Prefix": "5c1e07a2:40," + id[:8] + ":60", "Deadline-Ms": "6000",
+		"Request-Id": id, "Model": model, "Token-Count": "100,48", "Prompt-Prefix": prompt, "Deadline-Ms": "6000",
 	} {
 		q.Header.Set("Eelgrassdrift-"+k, x)
 	}
--- a/review/rig3/replica.go
+++ b/review/rig3/replica.go
@@ -50,6 +50,12 @@
 	cut        chan struct{}
 	badTokens  int
 	stageReads int
+	// deadly is the part of prompts that ends the process when it begins to write an answer on it; empty for none.
+	// deadlyAt holds the arrivals of requests with it, and deaths the ends.
+	deadly           string
+	deadlyAt, deaths []time.Time
+	// begun holds the requests of which a token was made.
+	begun map[string]bool
 }
 
 // boot starts a new incarnation of the replica, which holds no layers unless version is given.
@@ -262,7 +268,12 @@
 	}
 	r.active++
 	r.ran[id]++
-	version, bad, cut := r.version, r.bad, r.cut
+	version, bad, cut, born := r.version, r.bad, r.cut, r.born
+	isDeadly := r.deadly != "" && strings.Contains(q.Header.Get("Eelgrassdrift-Prompt-Prefix"), r.deadly+":")
+	if isDeadly {
+		r.deadlyAt = append(r.deadlyAt, time.Now())
+		r.record.add("request %s with the deadly part reaches %s", id, r.id)
+	}
 	if bad {
 		r.badTokens++
 	}
@@ -272,6 +283,11 @@
 		r.active--
 		r.mu.Unlock()
 	}()
+	if isDeadly {
+		time.Sleep(eventTime)
+		r.die(born)
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Eelgrassdrift-Response-Signature", "sig."+id)
 	w.Header().Set("Eelgrassdrift-Weight-Versions", strconv.FormatInt(version, 10))
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -284,6 +300,9 @@
 		case <-q.Context().Done():
 			return
 		}
+		r.mu.Lock()
+		r.begun[id] = true
+		r.mu.Unlock()
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, id)
 		_ = http.NewResponseController(w).Flush()
 	}
@@ -292,6 +311,25 @@
 // events is the number of events of an answer.
 const events = 8
 
+// die ends the process that started at a time, which is back after some seconds.
+func (r *replica) die(born int64) {
+	r.mu.Lock()
+	again := r.up && r.born == born
+	if again {
+		r.deaths = append(r.deaths, time.Now())
+	}
+	r.mu.Unlock()
+	if !again {
+		return
+	}
+	r.crash()
+	time.AfterFunc(3*time.Second, func() {
+		if err := r.boot(0); err != nil {
+			r.record.add("replica %s doesn't start: %v", r.name, err)
+		}
+	})
+}
+
 // stageSleep takes the time of a read or write of a staged piece.
 func (r *replica) stageSleep() {
 	r.mu.Lock()
