--- a/review/rig3/replica.go
+++ b/review/rig3/replica.go
@@ -330,6 +330,13 @@
 	})
 }
 
+// reads returns the number of reads of staged pieces so far.
+func (r *replica) reads() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stageReads
+}
+
 // stageSleep takes the time of a read or write of a staged piece.
 func (r *replica) stageSleep() {
 	r.mu.Lock()
--- a/review/rig3/spoilt.go
+++ b/review/rig3/spoilt.go
@@ -42,9 +42,11 @@
 				time.Sleep(20 * time.Millisecond)
 			}
 			rec.add("the agent of %s has staged version 2", slow.name)
-			// The pieces are read three times in a row before the order. A part of those that were read for the third
-			// time turns bad.
-			time.Sleep(60*time.Millisecond + 2*pieces*(slowFactor*soundStageTime+stageOverhead) + 400*time.Millisecond)
+			// The pieces are read three times in a row before the order. Some of those that were read for the third time
+			// turn bad.
+			for last := slow.reads() + 2*pieces + 2*spoiltPieces; slow.reads() < last; {
+				time.Sleep(20 * time.Millisecond)
+			}
 			for n := range spoiltPieces {
 				slow.spoil(n)
 			}
@@ -82,6 +84,3 @@
 	}
 	return held, nil
 }
-
-// stageOverhead is what a read of a staged piece takes beside the replica's time.
-const stageOverhead = 700 * time.Microsecond
