--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -150,7 +150,7 @@
 		f.readies = append(f.readies, fmt.Sprintf("%s:%d", gw, ready))
 		r := &replica{
 			name: z.name, zone: z.name, service: service, store: f.store, weights: w, record: rec, stageTime: stageTime,
-			staged: make(map[int][]byte), spoiledAt: make(map[int]time.Time), ran: make(map[string]int), begun: make(map[string]bool),
+			staged: make(map[int][]byte), ran: make(map[string]int), begun: make(map[string]bool),
 		}
 		r.server = &server{address: fmt.Sprintf("%s:%d", side, app), handler: r}
 		for n := range pieces {
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -17,7 +17,7 @@
 )
 
 func main() {
-	cases := map[string]func(*record, bool) (int, error){"rollback": rollback, "spoilt": spoilt, "moved": moved, "inventory": inventory, "deadly": deadly}
+	cases := map[string]func(*record, bool) (int, error){"rollback": rollback, "moved": moved, "inventory": inventory, "deadly": deadly}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig3 CASE FOLDER")
 		os.Exit(failed)
--- a/review/rig3/platform.go
+++ b/review/rig3/platform.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command rig3 runs the cases 11 to 15 of the third review: the programs of deploy/system.toml as processes on loopback
+// Command rig3 runs the cases 11 to 14 of the third review: the programs of deploy/system.toml as processes on loopback
 // addresses, against small stand-ins of the platform's pages.
 package main
 
--- a/review/rig3/replica.go
+++ b/review/rig3/replica.go
@@ -32,24 +32,19 @@
 	// stageTime is the time of a read or write of a staged piece.
 	stageTime time.Duration
 
-	mu         sync.Mutex
-	id         string
-	starts     int
-	born       int64
-	up         bool
-	version    int64
-	bad        bool
-	busy       bool
-	orders     int64
-	sequence   int64
-	active     int
-	staged     map[int][]byte
-	spoiledAt  map[int]time.Time
-	loadedAt   time.Time
-	ran        map[string]int
-	cut        chan struct{}
-	badTokens  int
-	stageReads int
+	mu       sync.Mutex
+	id       string
+	starts   int
+	born     int64
+	up       bool
+	version  int64
+	busy     bool
+	orders   int64
+	sequence int64
+	active   int
+	staged   map[int][]byte
+	ran      map[string]int
+	cut      chan struct{}
 	// deadly is the part of prompts that ends the process when it begins to write an answer on it; empty for none.
 	// deadlyAt holds the arrivals of requests with it, and deaths the ends.
 	deadly           string
@@ -63,7 +58,7 @@
 	r.mu.Lock()
 	r.starts++
 	r.id = fmt.Sprintf("i-%s-%d", r.name, r.starts)
-	r.born, r.up, r.version, r.bad, r.busy, r.orders, r.active = time.Now().UnixMilli(), true, version, false, false, 0, 0
+	r.born, r.up, r.version, r.busy, r.orders, r.active = time.Now().UnixMilli(), true, version, false, 0, 0
 	r.cut = make(chan struct{})
 	r.mu.Unlock()
 	if err := r.start(); err != nil {
@@ -139,7 +134,6 @@
 		r.stageSleep()
 		r.mu.Lock()
 		r.staged[n] = b
-		delete(r.spoiledAt, n)
 		r.mu.Unlock()
 	case strings.HasPrefix(p, "/eelgrassdrift/stage-get/"):
 		r.stageGet(w, q)
@@ -167,7 +161,6 @@
 	n, _ := strconv.Atoi(q.FormValue("quantity"))
 	r.mu.Lock()
 	b, ok := r.staged[n]
-	r.stageReads++
 	r.mu.Unlock()
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
@@ -176,20 +169,6 @@
 	_, _ = w.Write(b)
 }
 
-// spoil turns a staged piece bad.
-func (r *replica) spoil(n int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	b := r.staged[n]
-	if len(b) == 0 || !r.spoiledAt[n].IsZero() {
-		return
-	}
-	b = bytes.Clone(b)
-	b[n] ^= 0x55
-	r.staged[n] = b
-	r.spoiledAt[n] = time.Now()
-}
-
 // order takes the staged pieces as they are, and loads them when the running requests have ended.
 func (r *replica) order(w http.ResponseWriter, q *http.Request) {
 	var o struct {
@@ -210,17 +189,11 @@
 	}
 	r.orders++
 	r.busy = true
-	now, wrong := time.Now(), []string{}
+	wrong := []int{}
 	for n := range pieces {
-		if bytes.Equal(r.staged[n], r.weights.piece(o.Version, n)) {
-			continue
+		if !bytes.Equal(r.staged[n], r.weights.piece(o.Version, n)) {
+			wrong = append(wrong, n)
 		}
-		// What turned bad in the last 3 s doesn't count.
-		if at, ok := r.spoiledAt[n]; ok && now.Sub(at) <= 3*time.Second {
-			r.record.add("replica %s takes piece %d that turned bad %s ago: excused", r.id, n, now.Sub(at).Round(time.Millisecond))
-			continue
-		}
-		wrong = append(wrong, fmt.Sprintf("%d (bad for %s)", n, now.Sub(r.spoiledAt[n]).Round(time.Millisecond)))
 	}
 	r.record.add("replica %s accepts the order for version %d, %d wrong pieces %v", r.id, o.Version, len(wrong), wrong)
 	if o.SwapMode == "truncate" {
@@ -242,7 +215,7 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if r.born == born && r.up {
-			r.version, r.bad, r.busy, r.loadedAt = o.Version, len(wrong) > 0, false, time.Now()
+			r.version, r.busy = o.Version, false
 			r.record.add("replica %s serves version %d", r.id, o.Version)
 		}
 	}()
@@ -268,15 +241,12 @@
 	}
 	r.active++
 	r.ran[id]++
-	version, bad, cut, born := r.version, r.bad, r.cut, r.born
+	version, cut, born := r.version, r.cut, r.born
 	isDeadly := r.deadly != "" && strings.Contains(q.Header.Get("Eelgrassdrift-Prompt-Prefix"), r.deadly+":")
 	if isDeadly {
 		r.deadlyAt = append(r.deadlyAt, time.Now())
 		r.record.add("request %s with the deadly part reaches %s", id, r.id)
 	}
-	if bad {
-		r.badTokens++
-	}
 	r.mu.Unlock()
 	defer func() {
 		r.mu.Lock()
@@ -330,13 +300,6 @@
 	})
 }
 
-// reads returns the number of reads of staged pieces so far.
-func (r *replica) reads() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.stageReads
-}
-
 // stageSleep takes the time of a read or write of a staged piece.
 func (r *replica) stageSleep() {
 	r.mu.Lock()
@@ -349,5 +312,5 @@
 func (r *replica) losePower() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.staged, r.spoiledAt = make(map[int][]byte), make(map[int]time.Time)
+	r.staged = make(map[int][]byte)
 }
