--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-rig3 inventory review/14
+exec target/review-rig3 moved review/14
