loader: versions that share pieces keep what the newer one needs

Cause: the store keeps a manifest by its digest, the loader by its version. Keeping version 3 had no effect in the store, as the manifest of version 1 was there, and dropping version 1 freed it for both. Each step that put a piece failed from then on: "no kept manifest needs chunk".

Change: package loader has one owner of kept versions, which drops a manifest from the store when no version has it any more, under the lock in which a version is kept. The piece for a digest is that of the newest version that has it; before it was the version that was learned last, and dropping that one lost the piece. A version that isn't kept fails with an error in place of a fetch without an end. A read of the newer version doesn't wait for the superseded one if both have the piece.

--- a/loader/completed_test.go
+++ b/loader/completed_test.go
@@ -87,10 +87,13 @@
 	l.name(8600*time.Millisecond, 5600*time.Millisecond)
 	var reads atomic.Int64
 	l.serveFrom(t, m, pieces, 2, &reads)
-	l.mu.Lock()
 	newer := recorder.DigestOf([]byte("newer"))
-	l.pieces[newer] = piece{"m", 3, 0}
-	l.mu.Unlock()
+	digests := make([][32]byte, testChunks)
+	digests[0] = newer
+	e, _ := l.engine()
+	if _, err := l.keep(e, 3, digests); err != nil {
+		t.Fatal(err)
+	}
 	// A piece takes 125 ms at the origin's link.
 	for i, most := range []time.Duration{400 * time.Millisecond, 50 * time.Millisecond} {
 		began := time.Now()
--- a/loader/early.go
+++ b/loader/early.go
@@ -21,7 +21,7 @@
 	if e == nil || version == 0 {
 		return nil
 	}
-	m := l.manifest(version)
+	m := l.versions.of(version)
 	if m == nil {
 		return nil
 	}
--- a/loader/fixture_test.go
+++ b/loader/fixture_test.go
@@ -40,6 +40,19 @@
 	return b
 }
 
+// alike names, for each version, the one whose weights it shares, from the piece with the number on.
+type alike map[int64]struct {
+	version int64
+	from    int
+}
+
+func (a alike) weights(version int64, piece int) []byte {
+	if o, ok := a[version]; ok && piece >= o.from {
+		return weights(o.version, piece)
+	}
+	return weights(version, piece)
+}
+
 // engine is a fake model engine that loads whatever is staged, without verifying it.
 type engine struct {
 	mu      sync.Mutex
@@ -53,6 +66,7 @@
 	// beforeRead, if set, is called with the staged pieces before each read of one.
 	beforeRead func(staged map[int][]byte)
 	loads      []int64
+	alike      alike
 	// active is the number of running streams; cut reports whether the last load cut
 	// them.
 	active int
@@ -107,7 +121,7 @@
 			e.loads = append(e.loads, version)
 			e.cut = cut
 			for n := range pieces {
-				if sha256.Sum256(e.staged[n]) != sha256.Sum256(weights(version, n)) {
+				if sha256.Sum256(e.staged[n]) != sha256.Sum256(e.alike.weights(version, n)) {
 					e.whole = false
 				}
 			}
@@ -130,6 +144,9 @@
 	corruptManifests int
 	// silentManifests is the number of requests for manifests still to stay unanswered.
 	silentManifests int
+	alike           alike
+	// oldest is the oldest version that the origin still sends.
+	oldest int64
 }
 
 func (o *origin) pieces(netip.AddrPort) *connector.Pieces {
@@ -147,7 +164,7 @@
 			}
 			var d [][32]byte
 			for n := range pieces {
-				d = append(d, sha256.Sum256(weights(version, n)))
+				d = append(d, sha256.Sum256(o.alike.weights(version, n)))
 			}
 			if o.corruptManifests > 0 {
 				o.corruptManifests--
@@ -158,10 +175,13 @@
 		Piece: func(_ context.Context, _ string, version int64, n int) (io.ReadCloser, int64, error) {
 			o.mu.Lock()
 			defer o.mu.Unlock()
+			if version < o.oldest {
+				return nil, 0, errors.Newf("version %d is gone", version)
+			}
 			if o.sent++; o.sent == 1 {
 				o.first = time.Now()
 			}
-			b := weights(version, n)
+			b := o.alike.weights(version, n)
 			if o.corruptPieces > 0 {
 				o.corruptPieces--
 				b[5]++
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -113,11 +112,9 @@
 	// staging guards the staged pieces between their check and the load order.
 	staging sync.Mutex
 
+	versions versions
+
 	mu sync.Mutex
-	// manifests holds the manifests in the store by version.
-	manifests map[int64]*manifest
-	// pieces holds the piece with each digest.
-	pieces map[recorder.Digest]piece
 	// client reads pieces from the origin, and manifestClient manifests; nil before its address
 	// is known.
 	client, manifestClient *connector.Pieces
@@ -210,11 +207,11 @@
 	if e == nil || !known || state.Versions[e.Model] >= version || l.isTooLate(e.Model, version, timekeeper.Now()) {
 		return nil
 	}
-	m := l.manifest(version)
+	m := l.versions.of(version)
 	if m == nil {
 		return nil
 	}
-	if !l.has(m) {
+	if !m.isComplete(l.Store) {
 		// The engine served the version while the store lacked pieces of it, and has
 		// restarted since.
 		l.complete.CompareAndSwap(version, 0)
@@ -233,11 +230,6 @@
 	return l.order(ctx, e, version, m)
 }
 
-// has reports whether the store has all pieces of the manifest.
-func (l *Loader) has(m *manifest) bool {
-	return !slices.ContainsFunc(m.Chunks, func(d recorder.Digest) bool { return !l.Store.Has(d) })
-}
-
 func (l *Loader) replica() replica { return replica{l.Replica} }
 
 func fail(op string, k classifier.Kind, err error) error { return &Error{Op: op, Kind: k, Err: err} }
@@ -321,7 +313,7 @@
 			return fail("load", classifier.Unavailable, errors.New("the engine restarted"))
 		case ok && s.Versions[e.Model] == version:
 			l.Log.Info().Int64("version", version).Dur("load-ms", time.Since(began)).Msg("version-loaded")
-			l.drop(version)
+			l.versions.dropBefore(l.Store, version)
 			return nil
 		}
 	}
--- a/loader/spread.go
+++ b/loader/spread.go
@@ -12,6 +12,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
+	"github.com/eelgrassdrift/eelgrassdrift/distributor"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/watcher"
@@ -20,15 +21,6 @@
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
 )
 
-// manifest is the manifest of a version with its identity.
-type manifest struct {
-	version recorder.Version
-	*recorder.Manifest
-	// staged holds, for each piece, whether it was staged while others were still being
-	// fetched. Only stageEarlyStep uses it.
-	staged []bool
-}
-
 // engineWait is how long after the start the Loader waits for the engine before it fetches.
 // An engine that starts with its instance may need a second, while one that still has
 // staged pieces responds at once.
@@ -42,13 +34,6 @@
 	manifestTimeout = 15 * time.Second
 )
 
-// piece identifies a piece at the origin.
-type piece struct {
-	model   string
-	version int64
-	number  int
-}
-
 // fetchStep fetches the pieces of the target version into the store.
 func (l *Loader) fetchStep(ctx context.Context) error {
 	e, o := l.engine()
@@ -140,10 +125,7 @@
 
 // fetchTargetPiece opens a piece of the target version at the origin.
 func (l *Loader) fetchTargetPiece(ctx context.Context, d recorder.Digest) (io.ReadCloser, int64, error) {
-	l.mu.Lock()
-	version := l.pieces[d].version
-	l.mu.Unlock()
-	l.leaveToSuperseded(ctx, version)
+	l.leaveToSuperseded(ctx, d)
 	body, size, err := l.fetchPiece(ctx, d)
 	l.originAnswered.Store(err == nil)
 	return body, size, err
@@ -151,8 +133,8 @@
 
 // fetchPiece opens the piece with the digest at the origin.
 func (l *Loader) fetchPiece(ctx context.Context, d recorder.Digest) (io.ReadCloser, int64, error) {
+	i, ok := l.versions.piece(d)
 	l.mu.Lock()
-	i, ok := l.pieces[d]
 	p := l.client
 	l.mu.Unlock()
 	if !ok || p == nil {
@@ -164,7 +146,7 @@
 // learn returns the manifest of a version, with digests from other instances or from
 // the origin. It returns nil if the other instances have to be asked again later.
 func (l *Loader) learn(ctx context.Context, e *resolver.Engine, version int64) (*manifest, error) {
-	m := l.manifest(version)
+	m := l.versions.of(version)
 	if m != nil {
 		return m, nil
 	}
@@ -264,37 +246,20 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, err := l.Store.Keep(d, b); err != nil {
-		return nil, err
-	}
-	m := &manifest{Manifest: r, staged: make([]bool, len(r.Chunks)), version: recorder.Version{
+	m := &manifest{Manifest: r, number: version, staged: make([]bool, len(r.Chunks)), version: recorder.Version{
 		Model: recorder.Name(e.Model), Name: recorder.Name(strconv.FormatInt(version, 10)),
 		Manifest: d, Digest: r.Digest, Size: r.Size,
 	}}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.manifests == nil {
-		l.manifests = make(map[int64]*manifest)
-		l.pieces = make(map[recorder.Digest]piece)
-	}
-	l.manifests[version] = m
-	for i, d := range r.Chunks {
-		l.pieces[d] = piece{e.Model, version, i}
+	if err := l.versions.keep(l.Store, m, b); err != nil {
+		return nil, err
 	}
 	l.Log.Info().Str("model", e.Model).Int64("version", version).Str("manifest", d.String()).Msg("version-learned")
 	return m, nil
 }
 
-// manifest returns the manifest of a version, or nil.
-func (l *Loader) manifest(version int64) *manifest {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.manifests[version]
-}
-
 // KnownDigests returns the digests of a version that this instance knows, or nil.
 func (l *Loader) KnownDigests(version int64) [][32]byte {
-	m := l.manifest(version)
+	m := l.versions.of(version)
 	if m == nil {
 		return nil
 	}
@@ -360,7 +325,7 @@
 			_ = sleeper.Sleep(work, pollInterval)
 		}
 	}()
-	if _, err := l.fetcher.Fetch(work, m.version, nil); err != nil {
+	if err := l.fill(work, l.fetcher, m); err != nil {
 		if work.Err() != nil {
 			return false, nil
 		}
@@ -369,6 +334,16 @@
 	return true, nil
 }
 
+// fill fetches the missing pieces of a version. The error is of kind NotFound if the version isn't
+// kept: the origin has no manifests under their digests, so that the fetch would never end.
+func (l *Loader) fill(ctx context.Context, f *distributor.Fetcher, m *manifest) error {
+	if l.Store.Manifest(m.version.Manifest) == nil {
+		return fail("fetch version "+string(m.version.Name), classifier.NotFound, errors.Newf("manifest %s isn't kept", m.version.Manifest))
+	}
+	_, err := f.Fetch(ctx, m.version, nil)
+	return err
+}
+
 // yields reports whether an incomplete version is abandoned for a newer one: if the
 // newer one can be served before the deadline of the older one, or if the older one can
 // no longer meet it. The decision must be the same on all instances, because a version
@@ -388,21 +363,3 @@
 	}
 	return time.Duration(float64(int64(e.Chunks)*e.ChunkSize) / l.Link * distributionFactor * float64(time.Second))
 }
-
-// drop removes the versions older than the given one from the store.
-func (l *Loader) drop(version int64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for v, m := range l.manifests {
-		if v >= version {
-			continue
-		}
-		l.Store.Drop(m.version.Manifest)
-		delete(l.manifests, v)
-		for _, d := range m.Chunks {
-			if l.pieces[d].version == v {
-				delete(l.pieces, d)
-			}
-		}
-	}
-}
--- a/loader/superseded.go
+++ b/loader/superseded.go
@@ -97,7 +97,7 @@
 	if version == 0 || e == nil {
 		return nil
 	}
-	m := l.manifest(version)
+	m := l.versions.of(version)
 	if m == nil || !l.isStillUseful(e, version) {
 		if l.superseded.CompareAndSwap(version, 0) {
 			l.completing.Store(false)
@@ -114,7 +114,7 @@
 		cancel()
 	}()
 	began := time.Now()
-	if _, err := l.NewFetcher(l.supersededOrigin(version), o.Domain).Fetch(work, m.version, nil); err != nil {
+	if err := l.fill(work, l.NewFetcher(l.supersededOrigin(version), o.Domain), m); err != nil {
 		if work.Err() != nil {
 			return nil
 		}
@@ -140,10 +140,10 @@
 	p := plan{now: now, missing: size, newerMissing: size, origin: o.OriginLink, link: l.Link, warm: e.Warm}
 	p.supersededUntil, _ = l.usedUntil(e.Model, version)
 	p.olderUntil, _ = l.usedUntil(e.Model, version-1)
-	if m := l.manifest(version); m != nil {
+	if m := l.versions.of(version); m != nil {
 		p.missing = int64(l.missing(m)) * e.ChunkSize
 	}
-	if m := l.manifest(l.target(e.Model).Version); m != nil {
+	if m := l.versions.of(l.target(e.Model).Version); m != nil {
 		p.newerMissing = int64(l.missing(m)) * e.ChunkSize
 	}
 	return p
@@ -189,13 +189,16 @@
 	}}
 }
 
-// leaveToSuperseded waits until the missing pieces of a superseded version have most likely
+// leaveToSuperseded waits with the piece of the digest until the missing pieces of a superseded version have most likely
 // been sent, if the plan reads them first. An instance does so until its first read that
 // succeeds after a failed one, so that the newer version is delayed once, by no more than
 // these pieces take.
-func (l *Loader) leaveToSuperseded(ctx context.Context, version int64) {
+func (l *Loader) leaveToSuperseded(ctx context.Context, d recorder.Digest) {
 	old := l.superseded.Load()
-	if old == 0 || version <= old || l.originAnswered.Load() {
+	if old == 0 || l.originAnswered.Load() {
+		return
+	}
+	if m := l.versions.of(old); m == nil || m.has(d) {
 		return
 	}
 	p, ok := l.currentPlan(old)
