distributor: a contradicting version doesn't drop the manifest of another

A version that is declared with a wrong size thus took the weights of a sound one out of the store, on the path through agents too.

The manifest is dropped only if this fetch brought it. The new test of Fetcher failed before ("Expected 0 to equal 1" manifests).

--- a/distributor/fetcher.go
+++ b/distributor/fetcher.go
@@ -172,12 +172,16 @@
 	if progress == nil {
 		progress = func(int, int) {}
 	}
+	wasKept := f.Store.Manifest(v.Manifest) != nil
 	m, err := f.manifest(ctx, v)
 	if err != nil {
 		return nil, err
 	}
 	if m.Size != v.Size || m.Digest != v.Digest {
-		f.Store.Drop(v.Manifest)
+		// A manifest that was kept before is that of another version.
+		if !wasKept {
+			f.Store.Drop(v.Manifest)
+		}
 		return nil, fail(op, classifier.Invalid, "manifest %s has size %d and digest %s; version %s has %d and %s",
 			v.Manifest, m.Size, m.Digest, v.Key(), v.Size, v.Digest)
 	}
--- a/distributor/fetcher_test.go
+++ b/distributor/fetcher_test.go
@@ -218,6 +218,17 @@
 		Expect(f.Store.Usage().Manifests).To(BeZero())
 	})
 
+	// Guards against a wrong declaration that takes the weights of another version, which has the
+	// same manifest, out of the store.
+	It("keeps the manifest that another version has", func() {
+		_, err := f.Fetch(ctx(), w.version, nil)
+		Expect(err).NotTo(HaveOccurred())
+		w.version.Size++
+		_, err = f.Fetch(ctx(), w.version, nil)
+		Expect(classifier.Of(err)).To(Equal(classifier.Invalid))
+		Expect(f.Store.Usage().Manifests).To(Equal(1))
+	})
+
 	// Guards against endless retries of a version that exceeds the store's limit.
 	It("ends when the store is too small", func() {
 		f.Store.Limit = 4096
