distributor: a fetch that lasts logs what it lacks and whom it asks

Every 5 s a fetch logs fetch-pending with the number of missing chunks, the one that has been fetched for longest, the sources that are being asked and the last failure.

--- a/distributor/fetcher.go
+++ b/distributor/fetcher.go
@@ -30,6 +30,7 @@
 	defaultHedgeDelay     = 30 * time.Second
 	defaultLateDelay      = 4 * time.Second
 	defaultMaxBackoff     = 5 * time.Second
+	defaultPending        = 5 * time.Second
 )
 
 // Fetcher fetches versions into a Store. Fields are set before the first Fetch;
@@ -91,6 +92,9 @@
 	LateDelay time.Duration
 	// Link bounds the bytes that were asked for; nil means no bound.
 	Link *Link
+	// PendingInterval is the interval at which a fetch that lasts logs what it lacks; the default is
+	// 5 s.
+	PendingInterval time.Duration
 	// MaxBackoff limits the delay after all sources failed and the delay between
 	// origin reads; the default is 5 s. The origin may ask for a longer one.
 	MaxBackoff time.Duration
@@ -126,6 +130,7 @@
 		setDefault(&f.HedgeDelay, defaultHedgeDelay)
 		setDefault(&f.LateDelay, defaultLateDelay)
 		setDefault(&f.MaxBackoff, defaultMaxBackoff)
+		setDefault(&f.PendingInterval, defaultPending)
 		if f.Link == nil {
 			f.Link = new(Link)
 		}
@@ -195,6 +200,7 @@
 		progress(verified, len(r.chunks))
 	}
 	g, work := errgroup.WithContext(ctx)
+	defer r.logPending(work, v.Key())()
 	p := r.plan()
 	for _, l := range p.Queues() {
 		r.startWorkers(work, g, l, f.parallel(p, l), report)
@@ -231,6 +237,7 @@
 		kept, err = f.Store.Keep(d, b)
 		return errors.Mark(err, errRejected)
 	}
+	defer r.logPending(ctx, v.Key())()
 	if err := newTask(r, 0).fetch(ctx); err != nil {
 		return nil, &Error{Op: "fetch manifest of " + v.Key(), Kind: kindOf(ctx, err), Err: err}
 	}
--- a/distributor/run.go
+++ b/distributor/run.go
@@ -35,6 +35,8 @@
 	members    []Member
 	cachedPlan *Plan
 	checkedAt  time.Time
+
+	pending pendingChunks
 }
 
 func newRun(f *Fetcher, m *recorder.Manifest) *run {
--- a/distributor/task.go
+++ b/distributor/task.go
@@ -90,6 +90,7 @@
 func (t *task) fetch(ctx context.Context) error {
 	f, d := t.f, t.chunks[t.chunk]
 	defer f.Store.beginFetch(d)()
+	defer t.pending.remove(t.chunk)
 	for n := 0; ; n++ {
 		ok, err := t.round(ctx)
 		if ok || err != nil {
@@ -141,6 +142,7 @@
 	}
 	start()
 	for len(active) > 0 {
+		t.pending.setAsked(t.chunk, active)
 		var e event
 		select {
 		case e = <-events:
@@ -152,6 +154,7 @@
 			if e.err == nil {
 				return true, nil
 			}
+			t.pending.setFailed(t.chunk, e.source, e.err)
 			if errors.Is(e.err, errRejected) {
 				return false, e.err
 			}
