isolator: tell the parts of long prompts apart

Cause: sharedParts named the first 32 parts of a prompt. A later one was no suspect, so its endings were counted for the sound parts beside it, which nothing explained. A higher number only moves that edge, up to 3,000 parts, and one ending under 1,200 parts would take 1,200 of the 2,048 suspects and more messages than are sent in 0.2 s.

Change: all parts are read. With more than 32 an ending counts for the parts that may be at fault: none that was answered whole a moment ago, and of too many others those that are suspects or that an earlier ending had as well. Endings under long prompts are remembered with all parts and count later, once an answer, an ending or another gateway tells the part. Marks of sound parts behind the 32nd place have room of their own, so that invented parts don't push out those of others. A held part looks for alternatives among the endings first, not among all parts of the request.

--- a/forwarder/isolate.go
+++ b/forwarder/isolate.go
@@ -175,13 +175,24 @@
 	e := &a.lease.Endpoint
 	began, ended := time.Since(a.sentAt), time.Since(a.state.endedAt)
 	counted := !c.isUnheld()
+	all := c.suspects()
+	parts, of := all[1:], len(all)-1
 	if counted {
-		for _, s := range c.suspects() {
-			c.handler.Isolator.Add(isolator.Ending{Suspect: s, Process: processName(e), Began: max(began, ended), Ended: ended})
-		}
+		parts = c.handler.Isolator.AddRequest(isolator.Ending{Process: processName(e), Began: max(began, ended), Ended: ended}, all...)[1:]
+	}
+	c.handler.Log.Info().Str("request", c.id).Str("digest", all[0].Digest.String()).Str("endpoint", e.ID).
+		Strs("parts", partNames(parts)).Int("of-parts", of).Bool("begun", a.begun).Bool("counted", counted).Dur("sent-ms", began).Msg("endpoint-ended")
+}
+
+// maxLoggedParts is the number of parts in one line of the log.
+const maxLoggedParts = 32
+
+func partNames(parts []isolator.Suspect) []string {
+	names := []string{}
+	for _, s := range parts[:min(len(parts), maxLoggedParts)] {
+		names = append(names, s.Part)
 	}
-	c.handler.Log.Info().Str("request", c.id).Str("digest", c.suspects()[0].Digest.String()).Str("endpoint", e.ID).
-		Strs("parts", c.sharedParts()).Bool("begun", a.begun).Bool("counted", counted).Dur("sent-ms", began).Msg("endpoint-ended")
+	return names
 }
 
 // noteServed records that an endpoint has answered the request, if the answer was whole.
--- a/forwarder/prompt_parts.go
+++ b/forwarder/prompt_parts.go
@@ -1,12 +1,6 @@
 package forwarder
 
-import (
-	"slices"
-	"strings"
-)
-
-// maxSharedParts bounds the parts of a prompt that are told apart.
-const maxSharedParts = 32
+import "strings"
 
 // sharedParts returns the ids of the parts of a prompt that other requests may share: all but
 // the last one, which belongs to one request or session. An id is a number in hexadecimal, whose
@@ -17,10 +11,12 @@
 	if n < 0 {
 		return nil
 	}
-	var ids []string
+	ids := make([]string, 0, strings.Count(list, ","))
+	seen := make(map[string]bool, cap(ids))
 	for p := range strings.SplitSeq(list[:n], ",") {
 		id, _, _ := strings.Cut(strings.TrimSpace(p), ":")
-		if id != "" && len(ids) < maxSharedParts && !slices.Contains(ids, id) {
+		if id != "" && !seen[id] {
+			seen[id] = true
 			ids = append(ids, id)
 		}
 	}
--- a/isolator/hold.go
+++ b/isolator/hold.go
@@ -135,7 +135,7 @@
 // all the endings of k and may be at fault in its place.
 func (i *Isolator) hasAlternative(k *suspect, all []Suspect) bool {
 	for _, o := range i.held() {
-		if o != k && !containsSuspect(all, o.Digest) && o.covers(k) {
+		if o != k && o.covers(k) && !containsSuspect(all, o.Digest) {
 			return true
 		}
 	}
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -50,6 +50,8 @@
 
 	mu       sync.Mutex
 	suspects map[Digest]*suspect
+	// longPrompts holds the last endings under long prompts that this gateway saw, the newest last.
+	longPrompts []*longPrompt
 	// heldList holds the suspects that are held; nil if it has to be made anew.
 	heldList []*suspect
 	// reported holds the suspects that News may have to report: those with sentUntil in the future, and those
@@ -84,15 +86,22 @@
 
 // Add records that a process ended while it had a request with the suspect. An ending that is
 // known already changes nothing, unless a request was served since.
-func (i *Isolator) Add(e Ending) { i.add(e, true) }
+func (i *Isolator) Add(e Ending) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.add(e, true, i.now())
+}
 
 // Learn does the same for an ending that another gateway saw.
-func (i *Isolator) Learn(e Ending) { i.add(e, false) }
-
-func (i *Isolator) add(e Ending, own bool) {
+func (i *Isolator) Learn(e Ending) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.now()
+	i.add(e, false, now)
+	i.addRemembered(e.Suspect, now)
+}
+
+func (i *Isolator) add(e Ending, own bool, now time.Time) {
 	k := i.suspects[e.Digest]
 	if k == nil || i.isForgotten(k, now) {
 		k = i.keep(e.Suspect, now)
@@ -283,11 +292,7 @@
 // time. They were sound then.
 func (i *Isolator) Served(began time.Time, all ...Suspect) {
 	now := i.now()
-	for _, s := range all {
-		if s.Part != "" {
-			i.sound.add(s.Digest, now)
-		}
-	}
+	i.sound.add(all, now)
 	if i.IsIdle() {
 		return
 	}
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -44,6 +45,32 @@
 	return l
 }
 
+// prompt returns the parts of a prompt: NAME PARTS [PART PLACE].
+func prompt(f []string) []isolator.Suspect {
+	n, _ := strconv.Atoi(f[1])
+	var l []isolator.Suspect
+	for k := range n {
+		l = append(l, isolator.NewPart(f[0]+strconv.Itoa(k)))
+	}
+	if len(f) == 4 {
+		k, _ := strconv.Atoi(f[3])
+		l[k] = isolator.NewPart(f[2])
+	}
+	return l
+}
+
+// countedParts names the parts if they are few.
+func countedParts(l []isolator.Suspect) string {
+	if len(l) > 3 {
+		return fmt.Sprintf("%d parts, the last one %s", len(l), l[len(l)-1].Part)
+	}
+	names := []string{"parts"}
+	for _, s := range l {
+		names = append(names, s.Part)
+	}
+	return strings.Join(names, " ")
+}
+
 func digest(name string) isolator.Digest { return suspect(name).Digest }
 
 // run executes a line of a script and returns what it shows.
@@ -63,6 +90,24 @@
 			g.gateway(f[1]).Add(isolator.Ending{Suspect: suspect(r), Process: f[2], Began: 10 * time.Millisecond})
 		}
 		return ""
+	case "prompt": // prompt GATEWAY PROCESS NAME PARTS [PART PLACE]: a process ends under a prompt, 10 ms after it was sent
+		g.now = g.now.Add(20 * time.Millisecond)
+		all := append([]isolator.Suspect{suspect(line)}, prompt(f[3:])...)
+		all[0].Digest = isolator.DigestOf([]byte(f[2]), all[0].Digest[:])
+		l := g.gateway(f[1]).AddRequest(isolator.Ending{Process: f[2], Began: 10 * time.Millisecond}, all...)
+		return fmt.Sprintf("%s counts %s\n", f[1], countedParts(l[1:]))
+	case "answered": // answered GATEWAY NAME PARTS: a prompt is answered whole
+		g.gateway(f[1]).Served(g.now, prompt(f[2:])...)
+		return ""
+	case "send": // send GATEWAY NAME PARTS [PART PLACE]: what becomes of a prompt
+		v := g.gateway(f[1]).Check(prompt(f[2:])...)
+		switch {
+		case v.HeldFor > 0:
+			return fmt.Sprintf("%s: held by %d parts\n", strings.Join(f[1:], " "), len(v.By))
+		case len(v.Trial) > 0:
+			return fmt.Sprintf("%s: trial\n", strings.Join(f[1:], " "))
+		}
+		return fmt.Sprintf("%s: sent\n", strings.Join(f[1:], " "))
 	case "together": // together GATEWAY REQUEST PROCESS...
 		for n, p := range f[3:] {
 			g.gateway(f[1]).Add(isolator.Ending{Suspect: suspect(f[2]), Process: p, Began: time.Duration(10+n) * time.Millisecond})
@@ -159,6 +204,10 @@
 // it are alike, and against sound requests that are refused because they share its other parts.
 func TestFaultyPart(t *testing.T) { runScripts(t, "testdata/part") }
 
+// Guards against a faulty part behind many others that isn't told apart, and against the sound parts
+// beside it that are held in its place.
+func TestLongPrompt(t *testing.T) { runScripts(t, "testdata/long-prompt") }
+
 // Guards against trials of a held part that every gateway makes, and against a hold without end.
 func TestTrial(t *testing.T) { runScripts(t, "testdata/trial") }
 
