loader: take a new place of the origin in the middle of a fetch

What callers saw: the origin is lost while a version is being fetched, and a configuration names it at another address.

Cause: fetchStep connected to the origin at its beginning and then waited in a fetch that tries again until it succeeds. The fetch of a superseded version and the reads of digests held the origin of their beginning too.

Change: what depends on the place of the origin is one connection (clients, fetcher with its back-off, failure domain). Each fetch and each read of digests ends when a configuration puts the origin elsewhere, and the next step goes on with the pieces in the store. Reads that hang at the former address end with it. A configuration that names no origin stops these reads only: before, engines weren't loaded either. A fetch also ends when the engine takes other pieces, and the version is then learned anew.

On the code before TestOriginMovesDuringFetch failed in six of eight forms ("version 1 was not loaded in time": refused, silent and busy pieces, moved twice, no origin for a moment, another failure domain; the two forms with digests passed), TestOriginMovesDuringSupersededFetch and TestEngineRestartsWithoutOrigin failed.

--- a/loader/completed_test.go
+++ b/loader/completed_test.go
@@ -37,10 +37,11 @@
 	t.Helper()
 	e, o := l.engine()
 	l.Link = o.OriginLink
-	l.client = &connector.Pieces{Piece: func(_ context.Context, _ string, _ int64, n int) (io.ReadCloser, int64, error) {
+	source := &connector.Pieces{Piece: func(_ context.Context, _ string, _ int64, n int) (io.ReadCloser, int64, error) {
 		reads.Add(1)
 		return io.NopCloser(bytes.NewReader(pieces[n])), e.ChunkSize, nil
 	}}
+	l.Pieces = func(netip.AddrPort) *connector.Pieces { return source }
 	for i := missing; i < len(pieces); i++ {
 		if err := l.Store.Put(m.Chunks[i], pieces[i]); err != nil {
 			t.Fatal(err)
--- a/loader/early.go
+++ b/loader/early.go
@@ -16,7 +16,7 @@
 // that the load can be ordered soon after the last piece has arrived. The pieces are
 // compared with their digests before the order.
 func (l *Loader) stageEarlyStep(ctx context.Context) error {
-	e, _ := l.engine()
+	e := l.Engine()
 	version := l.fetching.Load()
 	if e == nil || version == 0 {
 		return nil
--- a/loader/fixture_test.go
+++ b/loader/fixture_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -147,11 +148,16 @@
 	alike           alike
 	// oldest is the oldest version that the origin still sends.
 	oldest int64
+	// onRequest, if set, is called with each request for a piece, or for a manifest if there is none.
+	onRequest func(ctx context.Context, piece *int) error
 }
 
 func (o *origin) pieces(netip.AddrPort) *connector.Pieces {
 	return &connector.Pieces{
 		Manifest: func(ctx context.Context, _ string, version int64) ([][32]byte, error) {
+			if err := o.respond(ctx, nil); err != nil {
+				return nil, err
+			}
 			if o.noManifest {
 				return nil, errors.New("too many connections")
 			}
@@ -172,7 +178,10 @@
 			}
 			return d, nil
 		},
-		Piece: func(_ context.Context, _ string, version int64, n int) (io.ReadCloser, int64, error) {
+		Piece: func(ctx context.Context, _ string, version int64, n int) (io.ReadCloser, int64, error) {
+			if err := o.respond(ctx, &n); err != nil {
+				return nil, 0, err
+			}
 			o.mu.Lock()
 			defer o.mu.Unlock()
 			if version < o.oldest {
@@ -191,10 +200,24 @@
 	}
 }
 
+// respond calls the function that decides whether the origin responds to a request, if there is one. The
+// piece is nil for a manifest.
+func (o *origin) respond(ctx context.Context, piece *int) error {
+	o.mu.Lock()
+	f := o.onRequest
+	o.mu.Unlock()
+	if f == nil {
+		return nil
+	}
+	return f(ctx, piece)
+}
+
 // fixture is a loader with a fake engine, a fake origin and no peers.
 type fixture struct {
 	engine *engine
 	origin *origin
+	// others holds the origins at other addresses.
+	others map[netip.AddrPort]*origin
 	state  *observer.State
 	loader *loader.Loader
 	offset uint64
@@ -203,9 +226,19 @@
 	last   dispatcher.Report
 }
 
-// repeats holds the retry mode of the route in each configuration that a test puts.
+// repeats holds the retry mode of the route in each configuration that a test puts. After an @ the
+// configuration may have the address and the failure domain of the origin, or nothing for no origin.
 var repeats = map[string]resolver.Repeat{"x": resolver.Resumable, "once": resolver.AtMostOnce}
 
+// originService returns the service of the origin in a configuration with the text after the @.
+func originService(place string) []resolver.Service {
+	if place == "" {
+		return nil
+	}
+	address, domain, _ := strings.Cut(place, "/")
+	return []resolver.Service{{Name: "o", Origin: netip.MustParseAddrPort(address), Domain: domain}}
+}
+
 func newFixture() *fixture {
 	f := &fixture{engine: &engine{started: time.Unix(1, 0), staged: make(map[int][]byte)}, origin: &origin{}}
 	f.state = &observer.State{
@@ -213,10 +246,13 @@
 			if key == "version" {
 				return &observer.Decision{Target: &observer.Target{Model: "m", Version: int64(v[0] - '0')}}, nil
 			}
-			return &observer.Decision{Configuration: &resolver.Configuration{Revision: 1, Services: []resolver.Service{
+			repeat, place, named := strings.Cut(string(v), "@")
+			if !named {
+				place = originAddress.String() + "/a"
+			}
+			return &observer.Decision{Configuration: &resolver.Configuration{Revision: 1, Services: append([]resolver.Service{
 				{Name: "s", Engine: &resolver.Engine{Model: "m", Slots: 1, Chunks: pieces, ChunkSize: pieceSize}},
-				{Name: "o", Origin: originAddress, Domain: "a"},
-			}, Routes: []resolver.Route{{Repeat: repeats[string(v)], Targets: []resolver.Target{{Service: "s", Weight: 1}}}}}}, nil
+			}, originService(place)...), Routes: []resolver.Route{{Repeat: repeats[repeat], Targets: []resolver.Target{{Service: "s", Weight: 1}}}}}}, nil
 		},
 		DecodeEndpoint: func(key string, _ []byte) (*observer.Endpoint, error) {
 			return &observer.Endpoint{ID: key, Service: "s", Address: engineAddress, Domain: "a"}, nil
@@ -234,7 +270,13 @@
 		Digests: func(context.Context, string, int64) ([][32]byte, error) {
 			return nil, errors.New("no peers")
 		},
-		Pieces: f.origin.pieces, Store: store, Log: zerolog.Nop(),
+		Pieces: func(a netip.AddrPort) *connector.Pieces {
+			if o := f.others[a]; o != nil {
+				return o.pieces(a)
+			}
+			return f.origin.pieces(a)
+		},
+		Store: store, Log: zerolog.Nop(),
 		NewFetcher: func(o *connector.Origin, _ string) *distributor.Fetcher {
 			return &distributor.Fetcher{
 				Self: self, OriginRegion: "r", Store: store, Origin: o, Client: distributor.NewClient(nil),
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -92,8 +92,6 @@
 	Store      *distributor.Store
 	Log        zerolog.Logger
 
-	fetcher *distributor.Fetcher
-	origin  netip.AddrPort
 	// began is the time of the start.
 	began time.Time
 
@@ -115,9 +113,8 @@
 	versions versions
 
 	mu sync.Mutex
-	// client reads pieces from the origin, and manifestClient manifests; nil before its address
-	// is known.
-	client, manifestClient *connector.Pieces
+	// connection is nil before the first call of connect.
+	connection *originConnection
 }
 
 // Run fetches and loads each new target version until ctx is done. Fetching, staging and
@@ -166,22 +163,22 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.fetcher != nil {
-		s.Chunks = l.fetcher.Stats()
+	if c := l.connection; c != nil {
+		s.Chunks = c.fetcher.Stats()
 	}
 	return s
 }
 
-// engine returns the configurations of the engine and of the origin, or nil while
-// either isn't known.
+// engine returns the configurations of the engine and of the origin, or nil for what isn't
+// known.
 func (l *Loader) engine() (*resolver.Engine, *resolver.Service) {
 	t := l.State.Table()
 	if t == nil {
 		return nil, nil
 	}
 	s, o := t.Service(l.Service), t.Configuration.Origin()
-	if s == nil || s.Engine == nil || s.Engine.Chunks == 0 || o == nil {
-		return nil, nil
+	if s == nil || s.Engine == nil || s.Engine.Chunks == 0 {
+		return nil, o
 	}
 	return s.Engine, o
 }
@@ -201,7 +198,7 @@
 
 // loadStep loads the newest complete version unless the engine already serves it.
 func (l *Loader) loadStep(ctx context.Context) error {
-	e, _ := l.engine()
+	e := l.Engine()
 	state, known := l.Reporter.State()
 	version := l.complete.Load()
 	if e == nil || !known || state.Versions[e.Model] >= version || l.isTooLate(e.Model, version, timekeeper.Now()) {
--- a/loader/spread.go
+++ b/loader/spread.go
@@ -2,20 +2,15 @@
 
 import (
 	"context"
-	"io"
-	"slices"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/eelgrassdrift/eelgrassdrift/classifier"
-	"github.com/eelgrassdrift/eelgrassdrift/connector"
 	"github.com/eelgrassdrift/eelgrassdrift/distributor"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/sleeper"
 	"github.com/eelgrassdrift/eelgrassdrift/internal/timekeeper"
-	"github.com/eelgrassdrift/eelgrassdrift/internal/watcher"
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
 	"github.com/eelgrassdrift/eelgrassdrift/resolver"
@@ -26,22 +21,14 @@
 // staged pieces responds at once.
 const engineWait = 300 * time.Millisecond
 
-const (
-	// manifestIdleTimeout is the time within which the response of the origin to a request
-	// for digests must begin, and the longest pause in it.
-	manifestIdleTimeout = 1500 * time.Millisecond
-	// manifestTimeout bounds the whole response, which may have some megabytes.
-	manifestTimeout = 15 * time.Second
-)
-
 // fetchStep fetches the pieces of the target version into the store.
 func (l *Loader) fetchStep(ctx context.Context) error {
-	e, o := l.engine()
+	e := l.Engine()
 	_, known := l.Reporter.State()
 	if e == nil {
 		return nil
 	}
-	l.connect(o)
+	c := l.connect()
 	n := l.target(e.Model)
 	if l.complete.Load() >= n.Version || !known && !l.mayFetchEarly(e.Model, n.Version) {
 		return nil
@@ -68,11 +55,11 @@
 		defer cancel()
 		go l.restoreLater(work, e.Model, m)
 	}
-	if done, err := l.fetch(ctx, e, n, m); !done {
+	if done, err := l.fetch(ctx, c, e, n, m); !done {
 		return err
 	}
 	l.Log.Info().Int64("version", n.Version).Dur("fetch-ms", time.Since(began)).
-		Int64("received-bytes", l.fetcher.Stats().TotalReceived()).Msg("version-fetched")
+		Int64("received-bytes", c.fetcher.Stats().TotalReceived()).Msg("version-fetched")
 	l.setComplete(n.Version)
 	return nil
 }
@@ -107,47 +94,10 @@
 	}
 }
 
-// connect makes a fetcher for the origin if its address changed.
-func (l *Loader) connect(o *resolver.Service) {
-	if l.origin == o.Origin {
-		return
-	}
-	l.origin = o.Origin
-	l.mu.Lock()
-	l.client = l.Pieces(o.Origin)
-	l.manifestClient = l.client
-	if l.Manifests != nil {
-		l.manifestClient = l.Manifests(o.Origin)
-	}
-	l.fetcher = l.NewFetcher(&connector.Origin{Fetch: l.fetchTargetPiece}, o.Domain)
-	l.mu.Unlock()
-}
-
-// fetchTargetPiece opens a piece of the target version at the origin.
-func (l *Loader) fetchTargetPiece(ctx context.Context, d recorder.Digest) (io.ReadCloser, int64, error) {
-	l.leaveToSuperseded(ctx, d)
-	body, size, err := l.fetchPiece(ctx, d)
-	l.originAnswered.Store(err == nil)
-	return body, size, err
-}
-
-// fetchPiece opens the piece with the digest at the origin.
-func (l *Loader) fetchPiece(ctx context.Context, d recorder.Digest) (io.ReadCloser, int64, error) {
-	i, ok := l.versions.piece(d)
-	l.mu.Lock()
-	p := l.client
-	l.mu.Unlock()
-	if !ok || p == nil {
-		return nil, 0, fail("fetch piece", classifier.NotFound, errors.Newf("no known piece has the digest %s", d))
-	}
-	return p.Piece(ctx, i.model, i.version, i.number)
-}
-
 // learn returns the manifest of a version, with digests from other instances or from
 // the origin. It returns nil if the other instances have to be asked again later.
 func (l *Loader) learn(ctx context.Context, e *resolver.Engine, version int64) (*manifest, error) {
-	m := l.versions.of(version)
-	if m != nil {
+	if m := l.versions.of(version); m != nil && m.fits(e) {
 		return m, nil
 	}
 	d, err := l.Digests(ctx, e.Model, version)
@@ -202,35 +152,6 @@
 	}
 }
 
-// digestsFromOrigin reads the digests of a version twice and compares the responses.
-// They carry no checksum, and no piece would ever match a corrupt digest.
-func (l *Loader) digestsFromOrigin(ctx context.Context, model string, version int64) ([][32]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
-	defer cancel()
-	ctx, stop := watcher.WithIdleTimeout(ctx, manifestIdleTimeout, manifestIdleTimeout)
-	defer stop()
-	l.mu.Lock()
-	p := l.manifestClient
-	l.mu.Unlock()
-	var first, second [][32]byte
-	g, ctx := errgroup.WithContext(ctx)
-	read := func(d *[][32]byte) func() error {
-		return func() (err error) {
-			*d, err = p.Manifest(ctx, model, version)
-			return err
-		}
-	}
-	g.Go(read(&first))
-	g.Go(read(&second))
-	if err := g.Wait(); err != nil {
-		return nil, err
-	}
-	if !slices.Equal(first, second) {
-		return nil, fail("read digests", classifier.Unavailable, errors.New("two responses of the origin differ"))
-	}
-	return first, nil
-}
-
 // keep builds the manifest of a version from the digests of its pieces and stores it.
 // Its overall digest is the digest of the piece digests, since the origin has none for
 // the version.
@@ -308,12 +229,15 @@
 }
 
 // fetch fetches the version into the store. It returns false if it stopped for a newer
-// version.
-func (l *Loader) fetch(ctx context.Context, e *resolver.Engine, n observer.TargetVersions, m *manifest) (bool, error) {
-	work, cancel := context.WithCancel(ctx)
+// version, or because the origin is elsewhere or the engine takes other pieces.
+func (l *Loader) fetch(ctx context.Context, c *originConnection, e *resolver.Engine, n observer.TargetVersions, m *manifest) (bool, error) {
+	work, cancel := l.whileCurrent(ctx, c.place)
 	defer cancel()
 	go func() {
 		for work.Err() == nil {
+			if now := l.Engine(); now != nil && !m.fits(now) {
+				cancel()
+			}
 			if newer := l.target(e.Model); newer.Version > n.Version && l.yields(e, n, timekeeper.Now()) {
 				spread := l.isSpread(n, timekeeper.Now())
 				l.Log.Info().Int64("version", n.Version).Int64("newer", newer.Version).Bool("spread", spread).Msg("version-superseded")
@@ -325,7 +249,7 @@
 			_ = sleeper.Sleep(work, pollInterval)
 		}
 	}()
-	if err := l.fill(work, l.fetcher, m); err != nil {
+	if err := l.fill(work, c.fetcher, m); err != nil {
 		if work.Err() != nil {
 			return false, nil
 		}
--- a/loader/superseded.go
+++ b/loader/superseded.go
@@ -25,7 +25,7 @@
 // bandwidth from the newer version.
 func (l *Loader) isSpread(n observer.TargetVersions, now time.Time) bool {
 	e, o := l.engine()
-	if e == nil || o.OriginLink <= 0 || n.Since.IsZero() {
+	if e == nil || o == nil || o.OriginLink <= 0 || n.Since.IsZero() {
 		return false
 	}
 	sending := time.Duration(float64(int64(e.Chunks)*e.ChunkSize) / o.OriginLink * float64(time.Second))
@@ -93,7 +93,7 @@
 // versions before it ends.
 func (l *Loader) supersededStep(ctx context.Context) error {
 	version := l.superseded.Load()
-	e, o := l.engine()
+	e := l.Engine()
 	if version == 0 || e == nil {
 		return nil
 	}
@@ -105,7 +105,8 @@
 		}
 		return nil
 	}
-	work, cancel := context.WithCancel(ctx)
+	c := l.connect()
+	work, cancel := l.whileCurrent(ctx, c.place)
 	defer cancel()
 	go func() {
 		for work.Err() == nil && l.isStillUseful(e, version) {
@@ -114,7 +115,7 @@
 		cancel()
 	}()
 	began := time.Now()
-	if err := l.fill(work, l.NewFetcher(l.supersededOrigin(version), o.Domain), m); err != nil {
+	if err := l.fill(work, l.NewFetcher(l.supersededOrigin(version), c.place.domain), m); err != nil {
 		if work.Err() != nil {
 			return nil
 		}
@@ -163,7 +164,7 @@
 // version. It logs each change of that.
 func (l *Loader) currentPlan(version int64) (plan, bool) {
 	e, o := l.engine()
-	if e == nil || version == 0 || version >= l.target(e.Model).Version {
+	if e == nil || o == nil || version == 0 || version >= l.target(e.Model).Version {
 		return plan{}, false
 	}
 	now := timekeeper.Now()
--- a/loader/superseded_test.go
+++ b/loader/superseded_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/eelgrassdrift/eelgrassdrift/connector"
@@ -80,6 +81,11 @@
 	l := &Loader{
 		Service: "s", MaxVersionDelay: 8 * time.Second, State: state, Store: store, Replica: replica, Log: zerolog.Nop(),
 		Reporter: &Reporter{Replica: replica, Send: nil, Log: zerolog.Nop()},
+		Pieces: func(netip.AddrPort) *connector.Pieces {
+			return &connector.Pieces{Piece: func(context.Context, string, int64, int) (io.ReadCloser, int64, error) {
+				return nil, 0, errors.New("connection refused")
+			}}
+		},
 		NewFetcher: func(o *connector.Origin, _ string) *distributor.Fetcher {
 			return &distributor.Fetcher{
 				Self: distributor.Member{Instance: "self", FailureDomain: "d", Region: "r"}, Store: store, Origin: o,
--- a/loader/versions.go
+++ b/loader/versions.go
@@ -6,6 +6,7 @@
 
 	"github.com/eelgrassdrift/eelgrassdrift/distributor"
 	"github.com/eelgrassdrift/eelgrassdrift/recorder"
+	"github.com/eelgrassdrift/eelgrassdrift/resolver"
 )
 
 // manifest is the manifest of a version with its identity.
@@ -27,6 +28,11 @@
 	return ok
 }
 
+// fits reports whether the engine takes the pieces of the manifest.
+func (m *manifest) fits(e *resolver.Engine) bool {
+	return string(m.version.Model) == e.Model && len(m.Chunks) == e.Chunks && m.ChunkSize == e.ChunkSize
+}
+
 // piece identifies a piece at the origin.
 type piece struct {
 	model   string
@@ -60,6 +66,12 @@
 	if v.manifests == nil {
 		v.manifests = make(map[int64]*manifest)
 	}
+	if o := v.manifests[m.number]; o != nil && o.version.Manifest != m.version.Manifest {
+		delete(v.manifests, m.number)
+		if !v.isNeeded(o.version.Manifest) {
+			s.Drop(o.version.Manifest)
+		}
+	}
 	m.places = make(map[recorder.Digest]int, len(m.Chunks))
 	for i, d := range m.Chunks {
 		m.places[d] = i
