dispatcher: entries of services that aren't configured replace no process

Cause: newestStarts took the latest start at an address from all entries of the list, so that the replicas counted as ended.

Change: only entries with a configured service count. An agent takes only an entry with its own service for that of its engine.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -168,7 +168,7 @@
 	defer d.mu.Unlock()
 	d.gatewayNames = names
 	now := d.now()
-	starts := newestStarts(list, now)
+	starts := newestStarts(t, list, now)
 	rank := !slices.Equal(gateways, d.gatewayList)
 	d.gatewayList = gateways
 	d.gateways = max(len(names), 1)
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -84,7 +84,7 @@
 	}}}, nil
 }
 
-// decodeEndpoint reads "DOMAIN VERSION [draining] [cold=MS] [started=N] [port=N]".
+// decodeEndpoint reads "DOMAIN VERSION [draining] [cold=MS] [started=N] [port=N] [service=NAME]".
 func decodeEndpoint(key string, v []byte) (*observer.Endpoint, error) {
 	f := strings.Fields(string(v))
 	n, _ := strconv.ParseInt(f[1], 10, 64)
@@ -101,6 +101,8 @@
 			e.Cold = time.Duration(n) * time.Millisecond
 		case "started":
 			e.Started = time.Unix(int64(n), 0)
+		case "service":
+			e.Service = v
 		case "port":
 			e.Address = netip.AddrPortFrom(e.Address.Addr(), uint16(n))
 		}
--- a/dispatcher/outdated.go
+++ b/dispatcher/outdated.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/eelgrassdrift/eelgrassdrift/observer"
+	"github.com/eelgrassdrift/eelgrassdrift/resolver"
 )
 
 // After a loss of power the list still holds the entries of processes that are gone, until
@@ -16,13 +17,14 @@
 // start of a process is taken for true.
 const maxClockDifference = time.Minute
 
-// newestStarts returns the latest start of any process at each address of the list. It
-// skips starts in the future: an entry with one would replace a process that runs.
-func newestStarts(list map[string]*observer.Endpoint, now time.Time) map[netip.AddrPort]time.Time {
+// newestStarts returns the latest start of any process at each address of the list. It skips
+// what would replace a process that runs: starts in the future, and entries with a service that
+// isn't configured, which name no endpoint.
+func newestStarts(t *resolver.Table, list map[string]*observer.Endpoint, now time.Time) map[netip.AddrPort]time.Time {
 	latest := now.Add(maxClockDifference)
 	m := make(map[netip.AddrPort]time.Time, len(list))
 	for _, e := range list {
-		if e.Started.After(m[e.Address]) && !e.Started.After(latest) {
+		if e.Started.After(m[e.Address]) && !e.Started.After(latest) && t.Service(e.Service) != nil {
 			m[e.Address] = e.Started
 		}
 	}
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -135,7 +135,7 @@
 func (s *reportSender) own() *observer.Endpoint {
 	var own *observer.Endpoint
 	for _, e := range s.State.Endpoints() {
-		if e.Address == s.Engine && (own == nil || e.Started.After(own.Started)) {
+		if e.Address == s.Engine && e.Service == s.Service && (own == nil || e.Started.After(own.Started)) {
 			own = e
 		}
 	}
