observer: reads that silent readers use up are no outage of the platform

Cause: after a pause the operators' table is read again without a wait, in 0.7 s. Readers that stand still themselves use that up, 0.3 s each, and the platform isn't asked or has no time to respond. The read counted as a failure of the platform, and once a peer responded as an outage, by which the version was dated.

Change: such a read says nothing of the platform.

TestRecordWrittenBehindSilentReaders on the code before: "dated 701 ms after the last good read, want 0"; it passes now.

--- a/observer/follower.go
+++ b/observer/follower.go
@@ -293,7 +293,7 @@
 // failed, it is an outage if it did so by a response such as a refused connection; after
 // a timeout, it is one once a peer responds, or if there is no peer.
 func (f *Follower) recordOutage(s Source, err error, began time.Time) {
-	platformFailed := err != nil && !s.Peers
+	platformFailed := err != nil && !s.Peers && !errors.Is(err, errReadersSilent)
 	if platformFailed {
 		f.failure = f.noticed(began)
 	}
--- a/observer/grace_test.go
+++ b/observer/grace_test.go
@@ -129,6 +129,45 @@
 	}
 }
 
+// Reads that readers of the table use up say nothing of the platform, which isn't asked in time: a
+// gateway that had been paused dated a version by such a read and used the older one for 2.4 s too long.
+func TestRecordWrittenBehindSilentReaders(t *testing.T) {
+	var last time.Time
+	reads := 0
+	silent := func(ctx context.Context, _ uint64, _ time.Duration) (connector.Changes, error) {
+		<-ctx.Done()
+		return connector.Changes{}, context.Cause(ctx)
+	}
+	shared := &observer.SharedReader{
+		IsShared: func() bool { return true }, IsReader: func() bool { return false },
+		Interval: 100 * time.Millisecond, MaxAge: time.Second, Others: silent,
+		Readers: silent,
+		Platform: func(ctx context.Context, from uint64, wait time.Duration) (connector.Changes, error) {
+			if reads++; reads == 1 {
+				last = timekeeper.Now()
+				return items(1), nil
+			}
+			select {
+			case <-time.After(50 * time.Millisecond):
+				return items(2), nil
+			case <-ctx.Done():
+				return connector.Changes{}, context.Cause(ctx)
+			}
+		},
+	}
+	f := &observer.Follower{
+		Sources: []observer.Source{{Name: "platform", Read: shared.Read}, {Name: "peers", Peers: true, Read: func(context.Context, uint64, time.Duration) (connector.Changes, error) {
+			c := items(2)
+			c.Age = 10 * time.Millisecond
+			return c, nil
+		}}},
+		Earliest: func(time.Time) time.Time { return timekeeper.Now() },
+	}
+	if d := readSecond(t, f).After.Sub(last); d > 300*time.Millisecond {
+		t.Errorf("dated %s after the last good read, want 0", d)
+	}
+}
+
 // The failure of a peer is no outage of the platform: an agent whose gateway was frozen dated a
 // version that it then read from the platform by the failed read, not by the last good one.
 func TestRecordWrittenWhilePeerFails(t *testing.T) {
--- a/observer/shared.go
+++ b/observer/shared.go
@@ -29,6 +29,10 @@
 	firstReadPause = 50 * time.Millisecond
 )
 
+// errReadersSilent marks the error of a read that the readers used up, so that the platform had less
+// time than its response may take. It says nothing of the platform.
+var errReadersSilent = errors.New("readers used up the time of the read")
+
 // SharedReader reads a table through a few readers for each failure domain, so that the
 // calls to the platform grow with the failure domains and not with the gateways. A
 // process that is a reader reads from the platform. Another one reads from the readers,
@@ -121,13 +125,17 @@
 	if isInterrupted(ctx) {
 		return c, err
 	}
-	delay := timekeeper.Now().Sub(began)
+	asked := timekeeper.Now()
 	c, platformErr := s.Platform(ctx, from, platformWait)
-	c.Delay = delay
-	if platformErr != nil {
-		return c, errors.CombineErrors(platformErr, err)
+	c.Delay = asked.Sub(began)
+	if platformErr == nil {
+		return c, nil
 	}
-	return c, nil
+	err = errors.CombineErrors(platformErr, err)
+	if ctx.Err() != nil && timekeeper.Now().Sub(asked) < responseIdleTimeout {
+		err = errors.Mark(err, errReadersSilent)
+	}
+	return c, err
 }
 
 // readFirst reads the whole table at the start of the process. If all gateways of a large fleet read
