--- a/loader/doc.go
+++ b/loader/doc.go
@@ -15,5 +15,10 @@
 // A new target doesn't always stop an older version that is partly fetched: the
 // deadline of the older one could then pass without any engine that serves it.
 //
+// Several versions are kept at a time, and they may share pieces: the type versions decides what
+// the store keeps and under which version a piece is asked for. What depends on the place of the
+// origin is an originConnection, which is replaced when a configuration names another place, in the
+// middle of a fetch too.
+//
 // A Reporter reads the engine's state and reports it to the gateways.
 package loader
