--- a/observer/grace_test.go
+++ b/observer/grace_test.go
@@ -142,7 +142,7 @@
 		IsShared: func() bool { return true }, IsReader: func() bool { return false },
 		Interval: 100 * time.Millisecond, MaxAge: time.Second, Others: silent,
 		Readers: silent,
-		Platform: func(ctx context.Context, from uint64, wait time.Duration) (connector.Changes, error) {
+		Platform: func(ctx context.Context, _ uint64, _ time.Duration) (connector.Changes, error) {
 			if reads++; reads == 1 {
 				last = timekeeper.Now()
 				return items(1), nil
